Spread and lengthen the waits before an overbooked discovery is asked again

Checked and ruled out: the 2.3 s silence limit (it never fired); the parsing of the list (the 13 watches that stayed took all changes); discovery being down (calls were admitted all the time). The cause: DiscoveryWatch::broke had a fixed ladder of 50 ms to 1 s with no jitter, so a service with a queue worked only on calls that were given up meanwhile.

Where discovery must be asked the wait is now drawn evenly up to mustAskInS / 2, then mustAskInS.

--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr Duration kDialLimit = std::chrono::seconds(1);
-constexpr Duration kFirstBackoff = std::chrono::milliseconds(50), kMostBackoff = std::chrono::seconds(1);
 constexpr Duration kMostSilent = std::chrono::milliseconds(2300);
 constexpr std::size_t kMostBody = 4 * 1024 * 1024;
 
@@ -103,13 +102,14 @@
 };
 
 DiscoveryWatch::DiscoveryWatch(boost::asio::io_context& io, TimerQueue& timers, const tcp::endpoint& address,
-                               TargetNames names, std::uint64_t since, Told told)
+                               TargetNames names, std::uint64_t since, const Backoff& backoff, Told told)
     : io_(io),
       timers_(timers),
       address_(address),
       names_(std::move(names)),
       since_(since),
-      told_(std::move(told)) {}
+      told_(std::move(told)),
+      backoff_(backoff) {}
 DiscoveryWatch::~DiscoveryWatch() = default;
 
 void DiscoveryWatch::start() {
@@ -127,7 +127,7 @@
     if (stopped_ || address == address_) return;
     address_ = address;
     needsWhole_ = true;
-    backoff_ = {};
+    backoff_.reset();
     timers_.cancel(redial_);
     if (link_) link_->close();
     start();
@@ -153,15 +153,14 @@
         throw;  // ends the connection; the next watch asks again from the last good version
     }
     since_ = list.index;
-    backoff_ = {};
+    backoff_.reset();
     list.full = list.full || whole;
     told_(list);
 }
 
 void DiscoveryWatch::broke(const WatchConnection& link) {
     if (stopped_ || &link != link_.get()) return;
-    backoff_ = std::clamp(backoff_ * 2, kFirstBackoff, kMostBackoff);
-    redial_ = timers_.after(backoff_, [this] { start(); });
+    redial_ = timers_.after(backoff_.next(), [this] { start(); });
 }
 
 }  // namespace weldstall
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 
+#include "net/backoff.h"
 #include "net/channel.h"
 #include "net/targets.h"
 
@@ -18,7 +19,7 @@
 
     // `since`: the version of the list known before; the first answer brings what changed after it.
     DiscoveryWatch(boost::asio::io_context& io, TimerQueue& timers, const tcp::endpoint& address,
-                   TargetNames names, std::uint64_t since, Told told);
+                   TargetNames names, std::uint64_t since, const Backoff& backoff, Told told);
     ~DiscoveryWatch();
     void start();
     void stop();
@@ -39,7 +40,7 @@
     std::uint64_t since_;
     Told told_;
     std::shared_ptr<WatchConnection> link_;
-    Duration backoff_{};
+    Backoff backoff_;
     bool stopped_ = false;
     bool needsWhole_ = false;  // no version of this discovery's is known
     TimerQueue::Token redial_ = 0;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -11,6 +11,7 @@
 #include <list>
 #include <vector>
 
+#include "net/backoff.h"
 #include "net/counter_client.h"
 #include "net/service.h"
 #include "net/targets.h"
@@ -523,6 +524,39 @@
     EXPECT_TRUE(silent.atEnd());
 }
 
+// Discovery that has to be asked is one service for all: those it turns away together must not come back
+// together, nor soon. With an hour to ask in, the next call of this seed is minutes away.
+TEST(NetDiscovery, WhereItMustBeAskedOneThatTurnsAwayIsLetOff) {
+    json s = settings();
+    s["discovery"] = "ask";
+    s["rules"]["mustAskInS"] = 3600;
+    Gate gate(Targets{}, s);
+    {
+        Socket watch = gate.discovery.accept();
+        watch.message();
+        watch.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        EXPECT_TRUE(watch.atEnd());
+    }
+    EXPECT_FALSE(gate.discovery.waitReadable(2000));
+}
+
+TEST(Backoff, WaitsOfManyAreSpreadAndTheirBoundDoublesUntilThePeerAnswers) {
+    const Duration first = std::chrono::seconds(5), most = std::chrono::seconds(10);
+    std::vector<int> second(10), third(10);
+    for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+        Backoff backoff(first, most, seed);
+        const Duration a = backoff.next(), b = backoff.next(), c = backoff.next();
+        EXPECT_LE(a, first);
+        EXPECT_LE(std::max(b, c), most);
+        ++second[static_cast<std::size_t>((a - Duration(1)) * 10 / first)];
+        ++third[static_cast<std::size_t>((c - Duration(1)) * 10 / most)];
+        backoff.reset();
+        EXPECT_LE(backoff.next(), first);
+    }
+    for (const int tenth : second) EXPECT_LT(tenth, 80);  // 40 in each were even
+    for (const int tenth : third) EXPECT_LT(tenth, 80);
+}
+
 TEST(NetDiscovery, AnAttemptThatStillDialsWritesNothingToAWorkerThatLeft) {
     Server full(0);  // its queue takes one connection; the next does not come up until that is accepted
     Socket plug = connectTo(full.port);
