--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -382,6 +382,47 @@
     EXPECT_LE(sent, 20);  // its part by weight and warmth is about 9 of the 200
 }
 
+// While most of a fleet is new, what the cold ones leave untouched falls on the few warm ones, by all
+// gatekeepers at once: the cold ones take a good part of what the tipping multiple allows.
+TEST(Cold, WhileMostOfTheFleetIsColdItTakesMoreThanItsWarmth) {
+    int sent = 0;
+    constexpr int kKeepers = 2000, kCold = 36;
+    for (int k = 0; k < kKeepers; ++k) {
+        Settings s = plainSettings();
+        s.gatekeepers = kKeepers;
+        s.self = k;
+        s.mayCount = false;
+        Gatekeeper keeper(s, static_cast<std::uint64_t>(k) + 1);
+        WorkerList list;
+        list.scope = ListScope::saved;
+        for (int i = 0; i < 60; ++i) {
+            list.entries.push_back(Rig::entry((i < kCold ? "cold" : "warm") + std::to_string(i)));
+            if (i < kCold) list.entries.back().startedAt = milliseconds(100'000);
+        }
+        Actions out;
+        const auto request = [&](const std::string& id, Time at) {
+            RequestArrived r;
+            r.request = id;
+            r.customer = static_cast<CustomerId>(k);
+            r.deadline = at + milliseconds(2500);
+            keeper.handle(at, r, out);
+        };
+        keeper.handle(milliseconds(98'000), list, out);
+        request("first", milliseconds(98'000));  // its answer shows how seldom this gatekeeper hears of each
+        AttemptEnded answer;
+        answer.request = "first";
+        answer.worker = std::get<SendAttempt>(out.back()).worker;
+        answer.closed = true;
+        keeper.handle(milliseconds(99'000), answer, out);
+        out.clear();
+        request("second", milliseconds(100'000));
+        for (const Action& action : out)
+            if (const auto* send = std::get_if<SendAttempt>(&action)) sent += send->worker.starts_with("cold");
+    }
+    EXPECT_GE(sent, kKeepers * 18 / 100);  // by warmth alone 0.25 x 36 / 60, so 15 in 100
+    EXPECT_LE(sent, kKeepers * 30 / 100);  // the tipping multiple of 2 is at 30
+}
+
 TEST(Workers, SilentOnesAmongQuickOnesDoNotShutTheGate) {
     Settings s = plainSettings();
     s.plans[0].rate = s.plans[0].burst = 1e6;
