Start the limit on attempts out lower in a large fleet, and cut it earlier

It fell only when attempts timed out, 1.5 s later, and settled where 3 in 10 answers are slow; 850 of 2430 attempts in 5 s timed out on servers that were not bad. The cause: limit_ = kLimitStart / gatekeepers x workers (16 out at each), kSlowShare 0.3, kSlowAnswer 0.7. Past ten gatekeepers the start is now lower, 5 for each records server at the least; the limit settles at 1 slow answer in 10, slow from 0.6 of the aim.

--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -43,11 +43,13 @@
 constexpr double kEjectLongest = 8;    // s put aside at most
 constexpr double kEjectMost = 0.5;     // share of the listed workers that may be aside at a time
 constexpr double kLimitStart = 16;     // attempts out at one worker, over all gatekeepers, at the start
+constexpr double kLimitFew = 10;       // gatekeepers past which that start is lower
+constexpr double kLimitServed = 5;     // but no lower than this: a worker serves so many without a queue
 constexpr double kLimitCut = 0.8;      // factor on that limit when an answer is slow
-constexpr double kLimitFirst = 4;      // attempts out that this gatekeeper is allowed at first, at least
+constexpr double kLimitFirst = 2;      // attempts out that this gatekeeper is allowed at first, at least
 constexpr double kLimitLeast = 0.1;    // the same later on; under one attempt it is drawn by chance
-constexpr double kSlowShare = 0.3;     // share of slow answers that the limit on attempts out settles at
-constexpr double kSlowAnswer = 0.7;    // share of the aim from which an answer counts as slow
+constexpr double kSlowShare = 0.1;     // share of slow answers that the limit on attempts out settles at
+constexpr double kSlowAnswer = 0.6;    // share of the aim from which an answer counts as slow
 constexpr double kRetryEarned = 0.2;   // further attempts earned by each first one
 constexpr double kRetryStore = 10;     // further attempts that may be saved up
 constexpr double kForeignZone = 0.1;   // how much worse a worker in another zone is taken to be
@@ -198,7 +200,7 @@
         }
         freeSlots();
         const double workers = static_cast<double>(workerIndex_.size());
-        if (limit_ <= 0) limit_ = std::max(kLimitFirst, kLimitStart / s_.gatekeepers * workers);
+        if (limit_ <= 0) limit_ = std::max(kLimitFirst, startShare() * workers);
     }
 
     std::size_t slotOf(const WorkerId& name) {
@@ -652,7 +654,13 @@
         setFlush(id, *slice, found->second);  // crowded: later, with what has come up until then
     }
 
-    double startLimit() const { return std::max(1.0, kLimitStart / s_.gatekeepers); }
+    // This gatekeeper's part of a worker's first limit. The more gatekeepers, the fewer answers each has to
+    // learn from, and the later it learns that all of them fill the queues together.
+    double startShare() const {
+        const double start = std::max(kLimitServed, kLimitStart * std::min(1.0, kLimitFew / s_.gatekeepers));
+        return start / s_.gatekeepers;
+    }
+    double startLimit() const { return std::max(1.0, startShare()); }
 
     // ---- Choosing a worker ------------------------------------------------------------------------
 
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -763,6 +763,37 @@
     EXPECT_EQ(rig.refusals.size(), 30 - rig.sends.size());
 }
 
+// What is harmless at one gatekeeper fills every queue when all do it: 100 of them with 10 attempts out each
+// hold 17 at every worker. Their first attempts show too late how full those are.
+TEST(Workers, ManyGatekeepersTogetherDoNotFillTheQueuesBeforeTheFirstAnswer) {
+    Settings s = plainSettings();
+    s.gatekeepers = 100;
+    Rig rig(s, 60);
+    for (CustomerId c = 0; c < 12; ++c) rig.request(1, c);
+    EXPECT_GE(rig.sends.size(), 2u);
+    EXPECT_LE(rig.sends.size(), 4u);
+    ASSERT_FALSE(rig.refusals.empty());
+    EXPECT_GT(rig.refusals.back().retryAfter, Duration::zero());
+}
+
+TEST(Workers, OneSlowAnswerInFiveLowersTheLimitOnAttemptsOut) {
+    Settings s = plainSettings();
+    Rig rig(s, 4);
+    for (int i = 0; i < 200; ++i) {
+        rig.request(1, static_cast<CustomerId>(100 + i));
+        AttemptEnded e;
+        e.request = rig.sends.back().request;
+        e.worker = rig.sends.back().worker;
+        e.elapsed = i % 5 == 0 ? milliseconds(400) : milliseconds(100);  // of an aim of 600
+        e.closed = true;
+        rig.feed(e);
+        rig.advance(milliseconds(100));
+    }
+    const std::size_t before = rig.sends.size();
+    for (CustomerId c = 0; c < 12; ++c) rig.request(1, 400 + c);
+    EXPECT_LE(rig.sends.size() - before, 3u);
+}
+
 TEST(Workers, FastErrorsPutOneAsideAndItComesBack) {
     Rig rig(plainSettings(), 4);
     int bad = 0, late = 0;
