Read meter and settlement on sockets; post no guess of the others as debt

Totals on the counter were 1.4 bursts above what had been let in. Of 26,000 units posted as debt or use, 13,000 were debt that one gatekeeper had guessed: carryDebt took old.since, in which a single unanswered unit counted 1 / share = 75 times (sinceFor), and posted up to 400 units into the next slice. No settlement went out at all: worker_pool never read X-Settled, nor X-Meter. Nearness was 1 for everybody, as one request of 2 units is many times 1 / 75 of a quota. Checked and ruled out: lost counts put back (none), take-backs that come late (small beside it).

Now X-Settled and X-Meter reach the module. Where under a tenth of a customer's requests come through here, its need is told by the meter and by the counter's refusals; unseen use of the others is the plan's rate at most and never debt; adds stand for up to 8; a crowded counter is sent some settlements that stand for the rest. The counter's names moved to a file of their own.

--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -6,7 +6,6 @@
 #include "slipshift/gatekeeper.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <deque>
 #include <random>
@@ -14,6 +13,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "slice_name.h"
+
 namespace slipshift {
 namespace {
 
@@ -28,6 +29,11 @@
 constexpr double kAskAgain = 0.1;  // share of a slice before which a customer's next answer is worth less
 constexpr double kAskSmooth = 0.02;  // weight of a new sample in the mean worth of an answer
 constexpr double kReadFrom = 0.5;  // fill of a closed slice from which its sum is read from a crowded counter
+constexpr double kThinShare = 0.1;   // share of a customer's requests under which its own tell nothing of it
+constexpr double kThinStandFor = 8;  // what an add of such a customer stands for at most, itself in
+constexpr double kUseStart = 0.9;    // what a customer is taken to use of its quota before the meter told
+constexpr double kUsePower = 3;      // how steeply unasked ones are let in less as the use passes the quota
+constexpr double kSettleLeast = 0.25;  // least chance that a settlement of a rare customer is posted
 constexpr double kCountRise = 0.01;    // what a quick answer adds to that share
 constexpr double kCountRegain = 0.05;  // what it adds for each second since the answer before
 constexpr double kCountCut = 0.75;     // factor on it when a call fails
@@ -106,7 +112,9 @@
 struct Slice {
     std::int64_t index = 0;
     double total = 0;                     // last known sum over all gatekeepers, without own refused units
-    double since = 0;                     // what was let in since then, by own units and the observed share
+    double since = 0;                     // own units let in since then
+    double others = 0;                    // what the others let in since then, by the observed share
+    Time heardAt{};                       // its last answer
     double own = 0;                       // own units let in
     double unused = 0;                    // room past the burst that was seen: it is lost
     bool known = false;                   // the counter answered for it
@@ -133,6 +141,7 @@
     Time demandAt{};
     Time heardAt{};  // its latest sum
     Time usedAt{};
+    double use = kUseStart;  // of its quota over all gatekeepers, by the meter and the counter's refusals
 };
 
 struct Attempt {
@@ -256,7 +265,7 @@
             r.stoodFor = rare;
             return decide(id, r);
         }
-        if (rare) r.charge = told.units * std::min(kStandFor, 1 / ask);
+        if (rare) r.charge = told.units * std::min(isThin(c, *plan) ? kThinStandFor : kStandFor, 1 / ask);
         current.asked = true;
         post(c, told.customer, current, id, r.charge);
         // A counter that mostly fails is asked to notice its return, but nobody waits for it.
@@ -266,7 +275,7 @@
     }
 
     void on(const CountAnswered& answer) {
-        const auto [customerId, index] = parseName(answer.name);
+        const auto [customerId, index] = parseSliceName(answer.name);
         const auto found = customers_.find(customerId);
         noteCounter(answer);
         Slice* slice = found == customers_.end() ? nullptr : findSlice(found->second, index);
@@ -306,7 +315,8 @@
             c.heardAt = now_;
             const Plan& plan = s_.plans[static_cast<std::size_t>(c.plan)];
             // The others have let in meanwhile what they did not post yet, as this gatekeeper had.
-            slice->since += sinceFor(c, plan, call.carried) - call.carried;
+            slice->others = othersFor(c, plan, call.carried);
+            slice->heardAt = now_;
             const double most = std::max(plan.burst, s_.maxUnits) + plan.rate * sliceOf(plan);
             const double age = seconds(now_) - startOf(customerId, plan, index);
             const double full = std::min(most, most + plan.rate * (age - sliceOf(plan))) - slice->unused;
@@ -352,8 +362,9 @@
 
     // What the customer takes of its quota, by what it asks for here and by the slice's sum.
     double nearness(const Customer& c, const Plan& plan, const Slice& slice) const {
+        if (isThin(c, plan)) return c.use;
         return std::max(c.demand / (shareOf(c, plan) * plan.rate),
-                        (slice.total + slice.since) / (plan.rate * sliceOf(plan)));
+                        sumOf(c, plan, slice) / (plan.rate * sliceOf(plan)));
     }
 
     void carryDebt(CustomerId id, Customer& c, const Slice& old) {
@@ -361,18 +372,29 @@
         Slice* next = findSlice(c, old.index + 1);
         if (next == nullptr || next->carried) return;
         next->carried = true;
-        const double debt = debtOf(plan, old.total + old.since + old.unused);  // also what is in no sum yet
+        const double debt = debtOf(plan, old.total + unseenIn(c, plan, old) + old.unused);
         if (debt <= 0) return;
         next->total += debt;
         next->oweAdmitted += debt;
         post(c, id, *next, 0, 0);
     }
 
+    // What is in no sum yet. Among many gatekeepers only own units: each would post its guess of the others.
+    double unseenIn(const Customer& c, const Plan& plan, const Slice& slice) const {
+        return slice.since + (isThin(c, plan) ? 0 : slice.others);
+    }
+
     void arrived(std::uint64_t id, Request& r, bool failed) {
         --r.awaited;
         if (r.awaited <= 0 || failed) decide(id, r);
     }
 
+    // With many entry points a customer is seen here so seldom that its own requests tell next to nothing of
+    // what it asks for in all: the meter in the answers does.
+    bool isThin(const Customer& c, const Plan& plan) const {
+        return s_.meterPeriod > Duration{} && shareOf(c, plan) < kThinShare;
+    }
+
     // The window test: from the counter's answer where there is one, else from the last known sums and
     // what this gatekeeper's observed share makes of its own traffic since.
     void decide(std::uint64_t id, Request& r) {
@@ -387,10 +409,13 @@
             slice = findSlice(c, r.slice);
             if (slice == nullptr) slice = &current;
             const double counted = r.answered && slice->index == r.slice ? r.charge : 0;
-            within = roomOf(id_, plan, *slice, slice->total + slice->since - counted) >= units - 1e-6;
+            within = roomOf(id_, plan, *slice, sumOf(c, plan, *slice) - counted) >= units - 1e-6;
             if (r.stoodFor && now_ < c.refusedAt + fromSeconds(sliceOf(plan))) within = false;
             if (r.answered) c.refusedAt = within ? Time{} : now_;
+            if (c.refusedAt == now_) c.use = std::max(c.use, 1.0);
         }
+        if (within && !r.answered && isThin(c, plan))
+            within = chance() * std::pow(std::max(c.use, 1.0), kUsePower) < 1;
         if (plan.concurrency > 0)
             within = within && c.out < std::max(1.0, std::floor(plan.concurrency * shareOf(c, plan)));
         const bool blind = !r.answered || slice == nullptr;
@@ -408,7 +433,7 @@
             } else if (call != nullptr && blind) {
                 call->blind += units;
             }
-            if (!r.answered) slice->since += sinceFor(c, plan, units);
+            if (!r.answered) admitUnseen(c, plan, *slice, units);
         }
         dispatch(id, r);
     }
@@ -486,12 +511,23 @@
         return std::clamp(share, 0.5 / c.entryPoints, 1.0);
     }
 
-    // What is let in unanswered, with what the others are taken to let in meanwhile; that is left out as far
-    // as a try too many earns more than it costs.
-    double sinceFor(const Customer& c, const Plan& plan, double units) const {
+    // What the others are taken to let in while this gatekeeper lets in `units` unanswered; that is left out
+    // as far as a try too many earns more than it costs.
+    double othersFor(const Customer& c, const Plan& plan, double units) const {
         const double trust =
             s_.mayCount ? std::clamp(1 + 5 * (plan.overCost - plan.overWorth), 0.0, 1.0) : 1.0;
-        return units * (1 + (1 / shareOf(c, plan) - 1) * trust);
+        return units * (1 / shareOf(c, plan) - 1) * trust;
+    }
+    void admitUnseen(const Customer& c, const Plan& plan, Slice& slice, double units) {
+        slice.since += units;
+        slice.others += othersFor(c, plan, units);
+    }
+    // The slice's sum by now. Many others are not taken to let in more than the plan's rate.
+    double sumOf(const Customer& c, const Plan& plan, const Slice& slice) const {
+        if (!isThin(c, plan)) return slice.total + slice.since + slice.others;
+        const double from = std::max(seconds(slice.heardAt), startOf(id_, plan, slice.index));
+        const double most = plan.rate * std::max(0.0, seconds(now_) - from);
+        return slice.total + slice.since + std::min(slice.others, most);
     }
 
     double sliceOf(const Plan& plan) const {
@@ -536,7 +572,7 @@
             if (!c.slices.empty()) {  // until the counter answers
                 const Slice& old = c.slices.back();
                 next.total = debtOf(plan, old.total + old.unused);
-                next.since = debtOf(plan, old.total + old.unused + old.since) - next.total;
+                next.since = debtOf(plan, old.total + old.unused + unseenIn(c, plan, old)) - next.total;
             }
             c.slices.push_back(std::move(next));
         }
@@ -571,26 +607,11 @@
         call.postedSoFar = slice.posted;
         if (request != 0) ++requests_[request].awaited;
         const Plan& plan = s_.plans[static_cast<std::size_t>(c.plan)];
-        act(AddToCount{nameOf(id, slice.index), call.amount,
+        act(AddToCount{sliceName(id, slice.index), call.amount,
                        std::min(kLongestName, fromSeconds(3 * sliceOf(plan)))});
         slice.calls.push_back(std::move(call));
     }
 
-    static std::string nameOf(CustomerId id, std::int64_t index) {
-        std::string name = "q";
-        name.append(std::to_string(id)).append(".").append(std::to_string(index));
-        return name;
-    }
-    static std::pair<CustomerId, std::int64_t> parseName(const std::string& name) {
-        CustomerId id = 0;
-        std::int64_t index = 0;
-        const char* end = name.data() + name.size();
-        if (name.empty()) return {id, index};
-        const auto first = std::from_chars(name.data() + 1, end, id);
-        if (first.ptr < end) std::from_chars(first.ptr + 1, end, index);
-        return {id, index};
-    }
-
     // The share of requests that asks the counter. Answers that come near the time-out or are turned away
     // tell of a crowded counter: the share settles where few calls fail. A run of failures tells of a silent
     // one: it is asked a little to notice its return, and then half as much as before. Guards the counter
@@ -620,7 +641,8 @@
     // A crowded counter is asked where its answer is worth most: for customers that come near their quota,
     // and by what letting in one too many costs. The mean over all requests stays near the share.
     double askChance(const Customer& c, const Plan& plan, const Slice& current) {
-        const double near = std::clamp(nearness(c, plan, current), kAskLeast, 1.0);
+        double near = std::clamp(nearness(c, plan, current), kAskLeast, 1.0);
+        if (isThin(c, plan)) near *= near;  // few come near their quota, and the meter knows them
         const double stale = seconds(now_ - c.heardAt) / (kAskAgain * sliceOf(plan));
         const double worth =
             plan.price * (plan.overCost + kAskLeast) * near * std::clamp(stale, kAskLeast, 1.0);
@@ -650,15 +672,26 @@
         slice->flushSet = false;
         // While the counter is silent the next add carries it.
         if (counterSilent() || (slice->oweAdmitted == 0 && slice->oweBack == 0)) return;
+        if (thinned(found->second, *slice)) return;
         if (drawCount()) return post(found->second, id, *slice, 0, 0);
         setFlush(id, *slice, found->second);  // crowded: later, with what has come up until then
     }
 
-    // This gatekeeper's part of a worker's first limit. The more gatekeepers, the fewer answers each has to
-    // learn from, and the later it learns that all of them fill the queues together.
+    // A crowded counter can't take a call for every settlement where no next add comes that could carry it:
+    // one in some goes out and stands for the others, so that in sum the true cost is settled.
+    bool thinned(const Customer& c, Slice& slice) {
+        const Plan& plan = s_.plans[static_cast<std::size_t>(c.plan)];
+        if (countShare_ >= 1 || slice.oweBack != 0 || !isThin(c, plan)) return false;
+        const double goes = std::max(countShare_, kSettleLeast);
+        const bool dropped = chance() >= goes;
+        slice.oweAdmitted = dropped ? 0 : slice.oweAdmitted / goes;
+        return dropped;
+    }
+
+    // The more gatekeepers, the later each learns from its few answers that all of them fill the queues.
     double startShare() const {
-        const double start = std::max(kLimitServed, kLimitStart * std::min(1.0, kLimitFew / s_.gatekeepers));
-        return start / s_.gatekeepers;
+        return std::max(kLimitServed, kLimitStart * std::min(1.0, kLimitFew / s_.gatekeepers)) /
+               s_.gatekeepers;
     }
     double startLimit() const { return std::max(1.0, startShare()); }
 
@@ -820,6 +853,7 @@
             r.cell = w.entry.cell;
             r.groupSince = a.sentAt;
         }
+        if (e.meteredPercent && c != nullptr) c->use = blend(c->use, *e.meteredPercent / 100, kSmooth);
         if (e.trueUnits && c != nullptr) settle(r, *c, *e.trueUnits - r.told.units);
         if (e.closed) r.closed = true;
         if (r.closed) return forgetIfDone(*id, r);
@@ -938,7 +972,7 @@
             slice->own -= r.told.units;
             giveBack(r, *slice);
             if (!r.answered && !r.charged) slice->oweBlind = std::max(0.0, slice->oweBlind - r.told.units);
-            slice->since -= r.answered ? 0 : sinceFor(*c, *plan, r.told.units);
+            if (!r.answered) admitUnseen(*c, *plan, *slice, -r.told.units);
             setFlush(r.told.customer, *slice, *c);
         }
         if (r.guarded) c->guard += r.told.units;
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -133,6 +133,8 @@
     ended.outcome = result.outcome;
     ended.elapsed = result.elapsed;
     ended.report = result.report;
+    ended.meteredPercent = result.meteredPercent;
+    ended.trueUnits = result.trueUnits;
     // The first whole answer goes to the client by itself; later ones, and those for a client that has had
     // its answer or gone away, are dropped.
     const bool served = result.outcome == Outcome::ok && r.client;
--- a/src/net/worker_pool.cpp
+++ b/src/net/worker_pool.cpp
@@ -136,7 +136,9 @@
         else
             result.outcome = Outcome::error;
         result.report = readReport(message["Server-Load"]);
+        result.meteredPercent = readFigure(message["X-Meter"]);
         if (status == 200) {
+            result.trueUnits = readFigure(message["X-Settled"]);
             const auto type = message[http::field::content_type];
             result.contentType.assign(type.data(), type.size());
             result.body = std::move(message.body());
--- a/src/net/worker_pool.h
+++ b/src/net/worker_pool.h
@@ -23,7 +23,9 @@
     slipshift::Outcome outcome = slipshift::Outcome::reset;
     slipshift::Duration elapsed{};
     std::optional<slipshift::LoadReport> report;
-    std::string contentType, body;  // of a 200
+    std::optional<double> meteredPercent;  // the customer's use, where the worker told it
+    std::optional<double> trueUnits;       // of a 200: what the request cost in the end
+    std::string contentType, body;         // of a 200
 };
 
 class WorkerConnection;
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -450,6 +450,52 @@
     EXPECT_LE(refused, 10u);
 }
 
+// Among many gatekeepers each sees a customer so seldom that its guess of what the others let in can be many
+// times the truth. Posted as debt, it would shut the customer out at all of them.
+TEST(Window, AGuessOfTheOthersIsNotPostedAsDebt) {
+    Settings s = plainSettings();
+    s.gatekeepers = 100;
+    s.meterPeriod = milliseconds(1000);
+    Rig rig(s, 60);
+    rig.counting = false;
+    rig.request(1, 5, milliseconds(2500), 75);
+    rig.failHeldAdds(Outcome::connectFailed);  // let in on what is known here, and owed to the counter
+    ASSERT_EQ(rig.sends.size(), 1u);
+    rig.counting = true;
+    rig.advance(milliseconds(4000));
+    rig.request(1, 5, milliseconds(2500), 75);  // opens the next slice and reads the closed one
+    rig.advance(milliseconds(4000));
+    EXPECT_EQ(rig.sends.size(), 2u);
+    EXPECT_LE(rig.counted(), 4);
+}
+
+TEST(Counter, ACrowdedOneIsAskedByTheMeterWhereOwnRequestsAreFew) {
+    Settings s = plainSettings();
+    s.gatekeepers = 100;
+    s.meterPeriod = milliseconds(1000);
+    s.plans[0].rate = 20;
+    s.plans[0].burst = 80;
+    Rig rig(s, 60);
+    int adds[2] = {0, 0};  // of one that uses all of its quota, and of one that uses little
+    for (int i = 0; i < 120; ++i) {
+        const int which = i % 2;
+        // Now and then calls time out: the counter is crowded.
+        rig.counting = i < 20 || i % 10 > 1;
+        const int before = rig.adds;
+        rig.request(1, static_cast<CustomerId>(5 + which), milliseconds(2500), 75);
+        if (i >= 20) adds[which] += rig.adds > before;
+        rig.failHeldAdds(Outcome::timedOut);
+        AttemptEnded e;
+        e.request = rig.sends.back().request;
+        e.worker = rig.sends.back().worker;
+        e.closed = true;
+        e.meteredPercent = which == 0 ? 100 : 5;
+        rig.feed(e);
+        rig.advance(milliseconds(50));
+    }
+    EXPECT_GT(adds[0], adds[1] + 10);
+}
+
 TEST(Window, ChargesTakenBackInAClosedSliceGiveTheirRoomBack) {
     Rig rig(plainSettings());
     rig.request();
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -608,6 +608,18 @@
     EXPECT_FALSE(worker.waitReadable(0));
 }
 
+TEST_F(NetCounter, WhatARequestCostInTheEndIsSettled) {
+    client.write(request("load", "r1"));
+    Socket at = counter.accept();
+    EXPECT_TRUE(has(at.message(), "?add=1&"));
+    at.write(ok("1"));
+    Socket served = worker.accept();
+    served.message();
+    served.write(ok("in", "X-Meter: 86\r\nX-Settled: 3\r\n"));
+    EXPECT_EQ(statusOf(client.message()), 200);
+    EXPECT_TRUE(has(at.message(), "?add=2&"));
+}
+
 TEST_F(NetCounter, ALateAnswerIsTakenOffTheLineAndNotForTheNextCall) {
     client.write(request("load", "r1"));
     Socket at = counter.accept();
