--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -632,9 +632,19 @@
     EXPECT_NE(statusOf(client.message()), 200);
     link.message();
     EXPECT_TRUE(link.atEnd());
-    client.write(request("load", "r2"));
+    // After a time-out some requests go unasked, by a draw: those are served until one asks.
+    for (int i = 2; i < 30; ++i) {
+        client.write(request("load", "r" + std::to_string(i)));
+        pollfd either[2] = {{at.fd(), POLLIN, 0}, {worker.fd(), POLLIN, 0}};
+        ASSERT_GT(::poll(either, 2, kPatienceMs), 0);
+        if (either[0].revents != 0) break;
+        Socket unasked = worker.accept();
+        unasked.message();
+        unasked.write("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        EXPECT_EQ(statusOf(client.message()), 200);
+    }
     at.message();
-    // The first answer is late; the second says that the window is full. Mixed up, r2 would be let in.
+    // The first answer is late; the second says that the window is full. Mixed up, this one would be let in.
     at.write(ok("1") + ok("1000000"));
     EXPECT_EQ(statusOf(client.message()), 429);
     EXPECT_FALSE(worker.waitReadable(0));
