--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -148,12 +148,31 @@
 };
 
 // A client's request as PROTOCOL has it; a later header of the same name replaces the one here.
+std::string customerId = "00000000b4d65521";
+
+// A customer whose slice on the counter began within the last second. Team's slices are 20 s long, shifted by
+// the customer's number; a test in which the slice changes sees names and connections that it does not
+// expect.
+std::string customerOfAYoungSlice() {
+    constexpr std::uint64_t kSliceUs = 20'000'000, kShifts = 1024;
+    const auto now = std::chrono::duration_cast<std::chrono::microseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    const std::uint64_t age = static_cast<std::uint64_t>(now.count()) % kSliceUs;
+    for (std::uint64_t id = 0xb4d65521;; ++id) {
+        const std::uint64_t shift = id * 2654435761u % kShifts * kSliceUs / kShifts;
+        if ((age + shift) % kSliceUs >= kSliceUs / 20) continue;
+        char hex[17];
+        std::snprintf(hex, sizeof hex, "%016llx", static_cast<unsigned long long>(id));
+        return hex;
+    }
+}
+
 std::string request(const std::string& cls, const std::string& id, int timeoutMs = 8000,
                     const std::string& body = "", const std::string& metering = "units=1,spread=1,first=0") {
     const bool get = cls == "load";
     std::string text =
         (get ? "GET /" : "POST /") + cls + "?slot=7 HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: " + id +
-        "\r\nRequest-Class: " + cls + "\r\nX-Contract: team\r\nX-Client-Id: 00000000b4d65521" +
+        "\r\nRequest-Class: " + cls + "\r\nX-Contract: team\r\nX-Client-Id: " + customerId +
         "\r\nRequest-Timeout-Ms: " + std::to_string(timeoutMs) + "\r\nX-Metering: " + metering + "\r\n";
     if (!get)
         text += "Idempotency-Key: k-" + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
@@ -578,6 +597,10 @@
 
 class NetCounter : public testing::Test {
 protected:
+    NetCounter() { customerId = customerOfAYoungSlice(); }
+    ~NetCounter() override { customerId = usual; }
+
+    const std::string usual = customerId;
     static json counted() {
         json s = settings();
         s["domain"] = {{"mayCount", true}, {"counterTimeoutS", 0.2}, {"maxUnits", 4}};
@@ -598,7 +621,8 @@
     client.write(request("load", "r1", 8000, "", "units=2.5,spread=1,first=0"));
     Socket at = counter.accept();
     const std::string call = at.message();
-    EXPECT_TRUE(has(call, "POST /v1/count/q3033945377.")) << call;
+    EXPECT_TRUE(has(call, "POST /v1/count/q" + std::to_string(std::stoull(customerId, nullptr, 16)) + "."))
+        << call;
     EXPECT_TRUE(has(call, "?add=2.5&ttl_ms=60000 HTTP/1.1\r\n")) << call;
     at.write(ok("1000000.5"));
     const std::string answer = client.message();
@@ -613,6 +637,14 @@
     Socket at = counter.accept();
     EXPECT_TRUE(has(at.message(), "?add=1&"));
     at.write(ok("1"));
+    // The closed slice is read too, over the same connection or, by its name, over another one.
+    pollfd either[2] = {{at.fd(), POLLIN, 0}, {counter.fd(), POLLIN, 0}};
+    ASSERT_GT(::poll(either, 2, kPatienceMs), 0);
+    Socket other;
+    if (either[0].revents == 0) other = counter.accept();
+    Socket& read = either[0].revents == 0 ? other : at;
+    EXPECT_TRUE(has(read.message(), "?add=0&"));
+    read.write(ok("0"));
     Socket served = worker.accept();
     served.message();
     served.write(ok("in", "X-Meter: 86\r\nX-Settled: 3\r\n"));
