Let cold records servers take 0.9 of the tipping multiple

Checked: how near a cold one comes to falling over (a warm one serves about 30 attempts in 3 s). At the whole multiple the worst server was sent 65 / least share in 3 s, typical ones 37; it falls at 75. The faulty line: kColdSafety = 0.7, which stays 0.63 under the rule.

--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -59,7 +59,7 @@
 constexpr double kRetryEarned = 0.2;   // further attempts earned by each first one
 constexpr double kRetryStore = 10;     // further attempts that may be saved up
 constexpr double kForeignZone = 0.1;   // how much worse a worker in another zone is taken to be
-constexpr double kColdSafety = 0.7;    // share of the tipping multiple used on a cold worker
+constexpr double kColdSafety = 0.9;    // share of the tipping multiple used on a cold worker
 constexpr Duration kLongestName = std::chrono::seconds(60);  // the counter keeps no name for longer
 
 double seconds(Duration d) {
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -419,7 +419,7 @@
         for (const Action& action : out)
             if (const auto* send = std::get_if<SendAttempt>(&action)) sent += send->worker.starts_with("cold");
     }
-    EXPECT_GE(sent, kKeepers * 18 / 100);  // by warmth alone 0.25 x 36 / 60, so 15 in 100
+    EXPECT_GE(sent, kKeepers * 22 / 100);  // by warmth alone 0.25 x 36 / 60, so 15 in 100
     EXPECT_LE(sent, kKeepers * 30 / 100);  // the tipping multiple of 2 is at 30
 }
 
