Give each of many gatekeepers a subset of the records servers

Checked and ruled out: the limit on attempts out as the first cause (its mean instead of its moments: no gain), second copies (a loss), calls to the counter (no gain). The faulty lines: choose() walks all of workers_ alike, whatever the number of gatekeepers.

Now each uses 8 (or so many that ten share each), an arc of the sorted names, so that all are used alike. Cold ones have an arc of their own and their budget is shared by fewer; none outside may use it.

--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -58,8 +58,11 @@
 constexpr double kSlowAnswer = 0.6;    // share of the aim from which an answer counts as slow
 constexpr double kRetryEarned = 0.2;   // further attempts earned by each first one
 constexpr double kRetryStore = 10;     // further attempts that may be saved up
+constexpr double kSubsetLeast = 8;     // workers that one of many gatekeepers uses at least
+constexpr double kSubsetSharers = 10;  // gatekeepers that each worker is used by at least
 constexpr double kForeignZone = 0.1;   // how much worse a worker in another zone is taken to be
 constexpr double kColdSafety = 0.9;    // share of the tipping multiple used on a cold worker
+constexpr Duration kSubsetAge = std::chrono::seconds(1);     // after which the subset is drawn anew
 constexpr Duration kLongestName = std::chrono::seconds(60);  // the counter keeps no name for longer
 
 double seconds(Duration d) {
@@ -115,6 +118,7 @@
             w.usable = e.availability == Availability::up;
         }
         freeSlots();
+        drawSubset();
         const double workers = static_cast<double>(workerIndex_.size());
         if (limit_ <= 0) limit_ = std::max(kLimitFirst, startShare() * workers);
     }
@@ -131,6 +135,35 @@
         return next;
     }
 
+    // Subsetting. Past ten gatekeepers each uses a part of the workers: a connection costs a worker work and
+    // room, a new one costs the request time, and of fewer workers each is heard of more often. The parts are
+    // arcs of the sorted names, so that each worker is in as many as any other; cold and warm ones have arcs
+    // of their own, so that each part has its share of both.
+    void drawSubset() {
+        if (s_.gatekeepers <= kLimitFew) return;
+        subsetAt_ = now_;
+        std::vector<Worker*> warm, cold;
+        for (Worker& w : workers_) {
+            w.part = 0;
+            if (w.usable) (coldShare(w) < 1 ? cold : warm).push_back(&w);
+        }
+        const double listed = static_cast<double>(warm.size() + cold.size());
+        const double used = std::max(kSubsetLeast, listed * kSubsetSharers / s_.gatekeepers);
+        drawArc(warm, used / listed);
+        drawArc(cold, used / listed);
+    }
+
+    void drawArc(std::vector<Worker*>& ring, double part) const {
+        if (ring.empty()) return;
+        std::sort(ring.begin(), ring.end(),
+                  [](const Worker* a, const Worker* b) { return a->entry.worker < b->entry.worker; });
+        const double size = static_cast<double>(ring.size());
+        const std::size_t arc = static_cast<std::size_t>(std::min(size, std::ceil(size * part)));
+        const std::size_t from = static_cast<std::size_t>(size * s_.self / s_.gatekeepers);
+        for (std::size_t i = 0; i < arc; ++i)
+            ring[(from + i) % ring.size()]->part = static_cast<double>(arc) / size;
+    }
+
     // Workers that are gone leave their slots once no attempt is out there: in a fleet that is replaced all
     // day they would be walked for every choice.
     void freeSlots() {
@@ -645,7 +678,8 @@
         const double share = coldShare(w);
         if (share >= 1) return true;
         expire(w);
-        const double part = share * w.entry.weight * std::max(1.0, s_.tipMultiple * kColdSafety);
+        if (w.part <= 0) return false;
+        const double part = share * w.entry.weight * std::max(1.0, s_.tipMultiple * kColdSafety) / w.part;
         if (w.sentWork + work <= part * f.warmWork / std::max(f.warmWeight, 1e-9)) return true;
         return w.sent.empty() && chance() * f.weight < part;
     }
@@ -664,6 +698,12 @@
     }
 
     int choose(const Request& r) {
+        if (now_ - subsetAt_ > kSubsetAge) drawSubset();  // some have become warm
+        const int own = choose(r, true);
+        return own >= 0 || s_.gatekeepers <= kLimitFew ? own : choose(r, false);
+    }
+
+    int choose(const Request& r, bool subset) {
         const RequestClass& cls = classOf(r);
         int listed = 0, aside = 0;
         for (const Worker& w : workers_) {
@@ -679,6 +719,7 @@
         for (std::size_t i = 0; i < workers_.size(); ++i) {
             Worker& w = workers_[i];
             if (!w.usable || (isAside(w) && believe) || w.out + 1 > w.limit) continue;
+            if (subset != (w.part > 0)) continue;
             if (!coldHasRoom(w, work, f)) continue;
             if (r.mayHaveRun && !sameGroup(cls, r, w)) continue;
             double value = score(w);
@@ -978,6 +1019,7 @@
     double others_ = 0;     // mean of the workers' reported attempts
     double hearEvery_ = 0;  // s in which this gatekeeper hears of every worker once, about
     Time heardAt_{};
+    Time subsetAt_{};
     double median_ = 0.2;  // of the times of answers, as parts of their aims
     int out_ = 0;          // own attempts outstanding
     double limit_ = 0;     // how many may be
--- a/src/state.h
+++ b/src/state.h
@@ -19,6 +19,7 @@
     Time heardAt{};       // its latest outcome
     double errors = 0;    // running share of attempts that failed fast
     Time asideUntil{};
+    double part = 1;   // of the warm or cold workers that the subset holds; 0: not this one
     double limit = 0;  // own attempts out at most
     Time limitCutAt{};
     bool onTrial = false;  // back from aside, one attempt at a time until it serves one
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <set>
 #include <stdexcept>
 
 namespace slipshift {
@@ -417,12 +418,73 @@
         out.clear();
         request("second", milliseconds(100'000));
         for (const Action& action : out)
-            if (const auto* send = std::get_if<SendAttempt>(&action)) sent += send->worker.starts_with("cold");
+            if (const auto* send = std::get_if<SendAttempt>(&action))
+                sent += send->worker.starts_with("cold");
     }
     EXPECT_GE(sent, kKeepers * 22 / 100);  // by warmth alone 0.25 x 36 / 60, so 15 in 100
     EXPECT_LE(sent, kKeepers * 30 / 100);  // the tipping multiple of 2 is at 30
 }
 
+// The workers that gatekeeper `self` of a hundred sends to, of sixty, when each attempt ends in `outcome`.
+std::set<WorkerId> workersUsed(int self, Outcome outcome) {
+    Settings s = plainSettings();
+    s.gatekeepers = 100;
+    s.self = self;
+    s.mayCount = false;
+    Gatekeeper keeper(s, static_cast<std::uint64_t>(self) + 1);
+    WorkerList list;
+    list.scope = ListScope::saved;
+    for (int i = 0; i < 60; ++i) list.entries.push_back(Rig::entry("w" + std::to_string(i)));
+    Actions out;
+    Time now = milliseconds(100'000);
+    keeper.handle(now, list, out);
+    std::set<WorkerId> used;
+    for (int i = 0; i < 100; ++i) {
+        RequestArrived r;
+        r.request = "r" + std::to_string(i);
+        r.customer = static_cast<CustomerId>(i);
+        r.deadline = now + milliseconds(2500);
+        out.clear();
+        keeper.handle(now, r, out);
+        now += milliseconds(20);
+        // Further attempts of the same request are answered as they come.
+        for (std::size_t at = 0, attempt = 0; at < out.size(); ++at) {
+            const auto* send = std::get_if<SendAttempt>(&out[at]);
+            if (send == nullptr) continue;
+            AttemptEnded ended;
+            ended.request = r.request;
+            ended.attempt = static_cast<int>(attempt++);
+            ended.worker = send->worker;
+            ended.outcome = outcome;
+            ended.elapsed = milliseconds(20);
+            ended.closed = outcome == Outcome::ok;
+            used.insert(ended.worker);
+            keeper.handle(now, ended, out);
+        }
+    }
+    return used;
+}
+
+// Connections cost workers work and room: among many gatekeepers each uses a few workers, and no worker is
+// left out or has more of them than another.
+TEST(Subset, OneOfManyGatekeepersUsesAFewWorkersAndAllWorkersAreUsedAlike) {
+    std::map<WorkerId, int> users;
+    for (int self = 0; self < 100; ++self) {
+        const auto used = workersUsed(self, Outcome::ok);
+        EXPECT_LE(used.size(), 8u);
+        for (const WorkerId& worker : used) ++users[worker];
+    }
+    EXPECT_EQ(users.size(), 60u);
+    for (const auto& [worker, count] : users) {
+        EXPECT_GE(count, 11) << worker;
+        EXPECT_LE(count, 16) << worker;
+    }
+}
+
+TEST(Subset, OthersAreUsedWhereNoneOfItCanBeReached) {
+    EXPECT_GT(workersUsed(0, Outcome::connectFailed).size(), 8u);
+}
+
 TEST(Workers, SilentOnesAmongQuickOnesDoNotShutTheGate) {
     Settings s = plainSettings();
     s.plans[0].rate = s.plans[0].burst = 1e6;
