Take a sum's shortage for lost counts only past what others' refunds explain

No count was lost: other gatekeepers had settled below their guesses. Each shortage was posted again. The faulty line: lost = 0 only while countShare_ >= 1, and a counter of 140 calls a second is always crowded. Now, where units are settled, it takes half a burst and more than one request's units.

--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -40,6 +40,7 @@
 constexpr double kCountEase = 0.97;    // factor on it when an answer is slow
 constexpr double kCountSlow = 0.3;     // slow: this far from the quickest answer's time to the time-out
 constexpr int kCountSilent = 4;        // calls failed in a row from which nobody waits for an answer
+constexpr double kLostLeast = 0.5;     // of a burst: with settlement, from where a sum's shortage is a loss
 constexpr double kShareMemory = 0.5;   // what is kept of the observed share at each closed slice
 constexpr double kSmooth = 0.15;       // weight of a new sample in running means of latency and errors
 constexpr double kReportWeight = 0.3;  // weight of a new load report of a worker
@@ -241,9 +242,10 @@
         }
         if (ok) {
             // Counts were lost (the counter came back empty): what this gatekeeper had posted goes in again.
-            // With settlement others' refunds can lower a sum too, so there it takes a counter in trouble.
+            // With settlement others' refunds lower a sum too, so there it takes more than those explain.
+            const Plan& plan = s_.plans[static_cast<std::size_t>(c.plan)];
             double lost = call.postedSoFar - answer.total;
-            if (lost < 0.5 || (s_.settles && countShare_ >= 1)) lost = 0;
+            if (lost < (s_.settles ? std::max(s_.maxUnits, kLostLeast * plan.burst) : 0.5)) lost = 0;
             slice->since = slice->oweAdmitted;
             for (const Call& later : slice->calls)  // let in, and in no sum yet
                 slice->since += later.admitted + (later.fate == Fate::admitted ? later.units : 0);
@@ -253,7 +255,6 @@
             slice->total = answer.total + lost - (slice->refused - call.takenSoFar);
             slice->known = true;
             c.heardAt = now_;
-            const Plan& plan = s_.plans[static_cast<std::size_t>(c.plan)];
             // The others have let in meanwhile what they did not post yet, as this gatekeeper had.
             slice->others = othersFor(c, plan, call.carried);
             slice->heardAt = now_;
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -635,6 +635,28 @@
     EXPECT_DOUBLE_EQ(rig.counted(), 8);
 }
 
+// What other gatekeepers settle below their guesses lowers a sum too: put in again, it would shut out a
+// customer that has room. A crowded counter makes no difference to that.
+TEST(Counter, RefundsOfOthersAreNotTakenForLostCounts) {
+    Settings s = plainSettings();
+    s.settles = true;
+    Rig rig(s);
+    rig.request(2);
+    rig.counting = false;
+    rig.request(1, 9);
+    rig.failHeldAdds(Outcome::connectFailed);
+    rig.counting = true;
+    for (auto& [name, value] : rig.counts)
+        if (value > 0) value -= 2;
+    for (int i = 0; i < 4; ++i) rig.request();
+    rig.advance(milliseconds(1500));
+    double sum = 0;
+    for (const auto& [name, value] : rig.counts)
+        if (name.starts_with("q5.")) sum += value;
+    EXPECT_EQ(rig.sends.size(), 6u);
+    EXPECT_LE(sum, 4);  // 6 sent less the refund of 2
+}
+
 TEST(Counter, NotPermittedMeansAShareOfTheQuota) {
     Settings s = plainSettings();
     s.mayCount = false;
