Take the list's objects by their brackets, not by line ends

Seen: with an object spread over lines the watch parsed its first line, threw, and came back from the same version for ever; what drained was never known. Ruled out: the whole list asked for after SIGHUP (parsed as one body). At fault: WatchConnection::takeLines.

--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -7,6 +7,8 @@
 #include <optional>
 #include <sstream>
 
+#include "net/json_stream.h"
+
 namespace weldstall {
 
 namespace http = boost::beast::http;
@@ -47,7 +49,7 @@
     // changes come in order behind it.
     void ask() {
         parser_.emplace();
-        parser_->body_limit(boost::none);  // a watch lasts; its lines are taken out as they come
+        parser_->body_limit(boost::none);  // a watch lasts; its objects are taken out as they come
         parser_->eager(true);
         std::ostringstream request;
         request << "GET /api/targets";
@@ -64,8 +66,8 @@
             input().consume(used);
             if (parser_->is_header_done()) {
                 if (parser_->get().result_int() != 200) return over();
-                if (!wholeFirst_) takeLines();
-                if (parser_->get().body().size() > kMostBody) return over();
+                if (!wholeFirst_) takeObjects();
+                if (parser_->get().body().size() + objects_.held() > kMostBody) return over();
                 if (!isOpen()) return;
             }
             if (ec == http::error::need_more) return;
@@ -81,12 +83,10 @@
         }
     }
 
-    void takeLines() {
-        std::string& body = parser_->get().body();
-        std::size_t from = 0;
-        for (std::size_t end; (end = body.find('\n', from)) != std::string::npos; from = end + 1)
-            watch_.line(std::string_view(body).substr(from, end - from));
-        body.erase(0, from);
+    // What stands between the objects only shows that the watch lives.
+    void takeObjects() {
+        objects_.put(parser_->get().body(), [this](std::string_view text) { watch_.take(text, false); });
+        parser_->get().body().clear();
     }
 
     void over() {
@@ -98,6 +98,7 @@
     DiscoveryWatch& watch_;
     bool wholeFirst_;
     std::uint64_t heard_ = 0;
+    JsonStream objects_;
     std::optional<http::response_parser<http::string_body>> parser_;
 };
 
@@ -133,11 +134,6 @@
     start();
 }
 
-// Empty lines only show that the watch lives.
-void DiscoveryWatch::line(std::string_view text) {
-    if (text.find_first_not_of(" \r\t") != std::string_view::npos) take(text, false);
-}
-
 void DiscoveryWatch::whole(std::string_view text) {
     take(text, true);
     needsWhole_ = false;
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -28,7 +28,6 @@
 
 private:
     friend class WatchConnection;
-    void line(std::string_view text);
     void whole(std::string_view text);
     void take(std::string_view text, bool whole);
     void broke(const WatchConnection& link);
--- /dev/null
+++ b/tests/crossing_test.cpp
@@ -0,0 +1,74 @@
+// Moments at which an answer, a close, a list or a signal comes between two steps: each is forced by a peer
+// that holds, closes or resets just there, or by a gatekeeper that is stopped while its peers act.
+#include <gtest/gtest.h>
+
+#include <list>
+
+#include "gate.h"
+
+namespace weldstall::test {
+namespace {
+
+const std::string kWatchHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// ---- The list of records servers --------------------------------------------------------------------
+
+// A line that ends inside an object is no end of it; nor is a bracket inside a text.
+TEST(CrossingList, ObjectsComeIndentedInPiecesOrSeveralAtOnce) {
+    Server a, b;
+    json s = settings();
+    s["rules"]["drainGraceS"] = 600;  // the list alone keeps attempts away from a
+    Gate gate(Targets{target("a", a)}, s);
+    Socket watch = gate.discovery.accept();
+    watch.message();
+    json named = target("b", b);
+    named["note"] = "}{ \\\" ]";
+    const auto list = [](int index, const Targets& targets) {
+        return json{{"index", index}, {"snapshot", true}, {"endpoints", targets}};
+    };
+    const std::string indented = list(43, {named}).dump(2);
+    watch.write(kWatchHead + chunk("\n") + chunk(indented.substr(0, 40)) +
+                chunk(indented.substr(40) + "\n\n") +
+                chunk(list(44, {named}).dump(4) + list(45, {named}).dump()));
+    watch.close();
+    Socket next = gate.discovery.accept();
+    EXPECT_TRUE(has(next.message(), "since=45 "));  // all three were taken
+    for (int i = 0; i < 3; ++i) {
+        Socket client = gate.client();
+        client.write(request("spend", "r" + std::to_string(i), 8000, "x"));
+        Socket at = b.accept();
+        at.message();
+        at.write("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        EXPECT_EQ(statusOf(client.message()), 200);
+    }
+    EXPECT_FALSE(a.waitReadable(0));
+}
+
+// What can't be read changes nothing, and the next watch asks from the last good version.
+TEST(CrossingList, AnUnreadableOneEndsItsWatchAndTheNextAsksFromTheLastGoodVersion) {
+    Server worker;
+    Gate gate(Targets{target("w", worker)});
+    int index = 42;
+    for (const std::string& spoilt :
+         {std::string("noise\n"), std::string("{\"index\": 50, \"snapshot\"}\n"),
+          std::string("{\"index\": -1, \"snapshot\": true, \"endpoints\": []}\n"),
+          std::string("{\n  \"index\": 51,\n  \"snapshot\": true,\n  \"endpoints\": [{}]\n}\n")}) {
+        Socket watch = gate.discovery.accept();
+        watch.message();
+        watch.write(kWatchHead + listLine(index, false, {}) + chunk(spoilt));
+        EXPECT_TRUE(watch.atEnd()) << spoilt;
+        Socket next = gate.discovery.accept();
+        EXPECT_TRUE(has(next.message(), "since=" + std::to_string(index) + " ")) << spoilt;
+        next.close();
+        ++index;
+    }
+    Socket client = gate.client();
+    client.write(request("load", "r"));
+    Socket at = worker.accept();
+    at.message();
+    at.write(ok("served"));
+    EXPECT_EQ(statusOf(client.message()), 200);
+}
+
+}  // namespace
+}  // namespace weldstall::test
