Count a watch's silence from its last word and open the next one at once

STANDING: what a silent watch misses counts as told 6 s after it fell silent. Seen by reading and by the test: WatchConnection::listen looked in fixed windows of 2.3 s, so one that spoke early in a window was left 4.6 s later; a wait of up to 1 s (pushed), or of up to half of mustAskInS (asked: 5 s with the usual 10) followed, and a dial of up to 1 s. Pushed, that came to 6.6 s; asked, to 10.6 s. Now 2.3 s from its last word, then at once (asked: within 1 s) and the dial: 4.3 s at most. An agent that refuses is asked every 200 ms at most, as what it gets at its return counts at once. Tests: CrossingList.AWatchThatFallsSilent..., ...WhereItMustBeAsked..., both failing before.

--- a/src/net/backoff.h
+++ b/src/net/backoff.h
@@ -18,7 +18,12 @@
     // Waits are drawn evenly up to a bound that doubles from `first` to `most`.
     Duration next() {
         bound_ = std::clamp(bound_ * 2, first_, most_);
-        return Duration(std::uniform_int_distribution<Duration::rep>(1, bound_.count())(random_));
+        return within(bound_);
+    }
+    // A draw that is no step of the growth.
+    Duration within(Duration bound) {
+        if (bound <= Duration::zero()) return Duration::zero();
+        return Duration(std::uniform_int_distribution<Duration::rep>(1, bound.count())(random_));
     }
     void reset() { bound_ = Duration::zero(); }
 
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -28,21 +28,25 @@
 
 private:
     void opened() override {
+        heardAt_ = std::chrono::steady_clock::now();
         ask();
         listen();
     }
 
     // A live watch says something every 2 s. One that says nothing may have been cut off with its changes:
     // another is opened. While discovery is down that one is silent too, and what was told last stays in
-    // force.
+    // force. What a silent one misses counts as told 6 s after its last word, so its time runs from there.
     void listen() {
-        const std::uint64_t before = heard_;
-        watch_.timers_.after(kMostSilent, [weak = weak_from_this(), before] {
-            const auto self = std::static_pointer_cast<WatchConnection>(weak.lock());
-            if (!self || !self->isOpen()) return;
-            if (self->heard_ == before) return self->over();
-            self->listen();
-        });
+        const auto silent = std::chrono::steady_clock::now() - heardAt_;
+        if (silent >= kMostSilent) {
+            close();
+            return watch_.fellSilent(*this, answered_);
+        }
+        watch_.timers_.after(std::chrono::duration_cast<Duration>(kMostSilent - silent),
+                             [weak = weak_from_this()] {
+                                 const auto self = std::static_pointer_cast<WatchConnection>(weak.lock());
+                                 if (self && self->isOpen()) self->listen();
+                             });
     }
 
     // The whole list by a request of its own, then the watch from its version, on the same connection: the
@@ -59,7 +63,8 @@
     }
 
     void received() override {
-        ++heard_;
+        heardAt_ = std::chrono::steady_clock::now();
+        answered_ = true;
         while (input().size() > 0) {
             error_code ec;
             const std::size_t used = parser_->put(input().data(), ec);
@@ -97,20 +102,22 @@
 
     DiscoveryWatch& watch_;
     bool wholeFirst_;
-    std::uint64_t heard_ = 0;
+    bool answered_ = false;
+    std::chrono::steady_clock::time_point heardAt_{};
     JsonStream objects_;
     std::optional<http::response_parser<http::string_body>> parser_;
 };
 
 DiscoveryWatch::DiscoveryWatch(boost::asio::io_context& io, TimerQueue& timers, const tcp::endpoint& address,
-                               TargetNames names, std::uint64_t since, const Backoff& backoff, Told told)
+                               TargetNames names, std::uint64_t since, const Waits& waits, Told told)
     : io_(io),
       timers_(timers),
       address_(address),
       names_(std::move(names)),
       since_(since),
       told_(std::move(told)),
-      backoff_(backoff) {}
+      backoff_(waits.broken),
+      mostSpread_(waits.silent) {}
 DiscoveryWatch::~DiscoveryWatch() = default;
 
 void DiscoveryWatch::start() {
@@ -159,4 +166,12 @@
     redial_ = timers_.after(backoff_.next(), [this] { start(); });
 }
 
+// The peer took no more than its words back, so there is nothing to let off. One that never answered is as
+// good as broken where others wait in its queue.
+void DiscoveryWatch::fellSilent(const WatchConnection& link, bool hadAnswered) {
+    if (stopped_ || &link != link_.get()) return;
+    if (!hadAnswered && mostSpread_ > Duration::zero()) return broke(link);
+    redial_ = timers_.after(backoff_.within(mostSpread_), [this] { start(); });
+}
+
 }  // namespace weldstall
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -16,10 +16,14 @@
 class DiscoveryWatch {
 public:
     using Told = std::function<void(const TargetList&)>;
+    struct Waits {          // before discovery is asked again
+        Backoff broken;     // where it turned the watch away, or it broke
+        Duration silent{};  // at most, where the watch fell silent
+    };
 
     // `since`: the version of the list known before; the first answer brings what changed after it.
     DiscoveryWatch(boost::asio::io_context& io, TimerQueue& timers, const tcp::endpoint& address,
-                   TargetNames names, std::uint64_t since, const Backoff& backoff, Told told);
+                   TargetNames names, std::uint64_t since, const Waits& waits, Told told);
     ~DiscoveryWatch();
     void start();
     void stop();
@@ -31,6 +35,7 @@
     void whole(std::string_view text);
     void take(std::string_view text, bool whole);
     void broke(const WatchConnection& link);
+    void fellSilent(const WatchConnection& link, bool hadAnswered);
 
     boost::asio::io_context& io_;
     TimerQueue& timers_;
@@ -40,6 +45,7 @@
     Told told_;
     std::shared_ptr<WatchConnection> link_;
     Backoff backoff_;
+    Duration mostSpread_;
     bool stopped_ = false;
     bool needsWhole_ = false;  // no version of this discovery's is known
     TimerQueue::Token redial_ = 0;
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -11,7 +11,9 @@
 // Shares of the descriptors: the rest is for the counter, discovery, the listener and the loop itself.
 constexpr std::size_t kClientShare = 50, kWorkerShare = 40;
 constexpr Duration kPushBackoffFirst = std::chrono::milliseconds(50);
-constexpr Duration kPushBackoffMost = std::chrono::seconds(1);
+constexpr Duration kPushBackoffMost = std::chrono::milliseconds(200);  // what it then tells counts at once
+// Where all gatekeepers' watches fall silent together: small beside the 6 s after which the list counts.
+constexpr Duration kSilentSpread = std::chrono::seconds(1);
 
 WorkerPool::Limits poolLimits(const Config& c) {
     WorkerPool::Limits limits;
@@ -24,10 +26,11 @@
 
 // Discovery that must be asked is one service with a queue for all gatekeepers: those it turned away together
 // spread their next tries over the time within which it wants to be asked. One that pushes is a local agent.
-Backoff discoveryBackoff(const Config& c) {
-    if (c.settings.discovery == Discovery::push || c.settings.mustAsk <= kPushBackoffMost)
-        return {kPushBackoffFirst, kPushBackoffMost, c.seed};
-    return {c.settings.mustAsk / 2, c.settings.mustAsk, c.seed};
+DiscoveryWatch::Waits discoveryWaits(const Config& c) {
+    if (c.settings.discovery == Discovery::push)
+        return {{kPushBackoffFirst, kPushBackoffMost, c.seed}, Duration::zero()};
+    const Duration most = std::max(c.settings.mustAsk, kSilentSpread);
+    return {{most / 2, most, c.seed}, kSilentSpread};
 }
 
 ClientListener::Rules listenerRules(const Config& c) {
@@ -57,7 +60,7 @@
                      return arrived(std::move(r), c);
                  },
                  [this](const std::string& id) { gone(id); }}),
-      discovery_(io, timers_, config.discovery, config.names, config.known.index, discoveryBackoff(config),
+      discovery_(io, timers_, config.discovery, config.names, config.known.index, discoveryWaits(config),
                  [this](const TargetList& list) {
                      listed(list, list.full ? ListScope::full : ListScope::changes);
                  }) {
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -70,5 +70,35 @@
     EXPECT_EQ(statusOf(client.message()), 200);
 }
 
+// Its last word counts, not a window that began before it: 2.3 s after that, so before a request that came
+// just behind it runs out after 3.9 s, another watch is open.
+TEST(CrossingList, AWatchThatFallsSilentRightAfterAWordIsOpenedAnewInTime) {
+    Server worker;
+    Gate gate(Targets{target("w", worker)});
+    Socket watch = gate.discovery.accept();
+    watch.message();
+    watch.write(kWatchHead + chunk("\n"));
+    Socket client = gate.client();
+    client.write(request("load", "r", 3900));
+    EXPECT_NE(statusOf(client.message()), 200);
+    EXPECT_TRUE(gate.discovery.waitReadable(0));
+}
+
+// One that turned its caller away is let off for long; one that fell silent missed what counts 6 s later.
+TEST(CrossingList, WhereItMustBeAskedOneThatFallsSilentIsAskedAgainSoon) {
+    json s = settings();
+    s["discovery"] = "ask";
+    s["rules"]["mustAskInS"] = 3600;
+    Gate gate(Targets{}, s);
+    Socket watch = gate.discovery.accept();
+    watch.message();
+    watch.write(kWatchHead + chunk("\n"));
+    Socket next = gate.discovery.accept();
+    EXPECT_TRUE(has(next.message(), "since=41 "));
+    // That one never answers: it is let off like one that turned away, as others wait in the same queue.
+    EXPECT_TRUE(next.atEnd());
+    EXPECT_FALSE(gate.discovery.waitReadable(2000));
+}
+
 }  // namespace
 }  // namespace weldstall::test
