Be ready once the agent told what it has, not on the saved list alone

Seen: Host's hook answered /-/ready with 200 from the saved list before the watch had its first object; what had begun to drain since that list was saved could be sent requests. Ruled out: unready for long without an agent (the test's second half). CrossingList.ANewProcessIsReady... fails before.

--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -55,13 +55,14 @@
       workers_(io, timers_, poolLimits(config),
                [this](WorkerPool::Number n, AttemptResult&& r) { attemptEnded(n, std::move(r)); }),
       listener_(io, timers_, clock_, listenerRules(config),
-                {[this] { return listKnown_; },
+                {[this] { return listKnown_ && listCurrent_; },
                  [this](ClientRequest&& r, const std::shared_ptr<ClientConnection>& c) {
                      return arrived(std::move(r), c);
                  },
                  [this](const std::string& id) { gone(id); }}),
       discovery_(io, timers_, config.discovery, config.names, config.known.index, discoveryWaits(config),
                  [this](const TargetList& list) {
+                     listCurrent_ = true;
                      listed(list, list.full ? ListScope::full : ListScope::changes);
                  }) {
     if (config.counter) {
@@ -77,6 +78,9 @@
 
 void Host::start() {
     listed(config_.known, ListScope::saved);
+    // Where it has to be asked, only what it was asked for counts.
+    listCurrent_ = config_.settings.discovery != Discovery::push || config_.listWait <= Duration::zero();
+    if (!listCurrent_) timers_.after(config_.listWait, [this] { listCurrent_ = true; });
     discovery_.start();
     listener_.listen(config_.listen);
 }
--- a/src/net/host.h
+++ b/src/net/host.h
@@ -81,6 +81,7 @@
     slipshift::Actions actions_;
     bool running_ = false;
     bool listKnown_ = false;
+    bool listCurrent_ = false;  // discovery has told what it has, or was waited for long enough
 };
 
 }  // namespace weldstall
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -100,5 +100,29 @@
     EXPECT_FALSE(gate.discovery.waitReadable(2000));
 }
 
+int readiness(Socket& client) {
+    client.write("GET /-/ready HTTP/1.1\r\n\r\n");
+    return statusOf(client.message());
+}
+
+// What the agent has counts as told from the first moment of a process: its list is waited for.
+TEST(CrossingList, ANewProcessIsReadyOnceItsAgentToldWhatItHas) {
+    Server worker;
+    const auto waits = [](int ms) { return [ms](json& c) { c["listWaitMs"] = ms; }; };
+    Gate gate(Targets{target("w", worker)}, settings(), waits(3600'000));
+    Socket watch = gate.discovery.accept();
+    watch.message();
+    Socket client = gate.client();
+    EXPECT_EQ(readiness(client), 503);
+    watch.write(kWatchHead + listLine(41, false, {}));
+    while (readiness(client) != 200)
+        ;
+    // One that says nothing, as while discovery is down, keeps nobody waiting for long.
+    Gate silent(Targets{target("w", worker)}, settings(), waits(1));
+    Socket other = silent.client();
+    while (readiness(other) != 200)
+        ;
+}
+
 }  // namespace
 }  // namespace weldstall::test
