Read on past what a client sends ahead, so that its leaving is seen

Seen: ClientConnection::received paused reading once 96 KB stood behind a request in hand (pauseReading); the client's end behind them was not read, its request was sent on after the counter's answer and its charge stayed. Now what is past that is read and dropped, and the connection ends with the answer, as what was dropped can't be served. Memory stays bounded (one shared buffer). Ruled out: less than 96 KB ahead, which was read on and its end seen. CrossingCounter.OneThatSentMuchAhead... fails before.

--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -9,6 +9,8 @@
 constexpr std::size_t kReadSize = 4096;
 constexpr std::size_t kKeepOutput = 16 * 1024;
 
+char dropped[64 * 1024];  // what was read to be dropped; nobody looks at it, so all connections share it
+
 }  // namespace
 
 // An exception while one connection is served ends that connection, not the process.
@@ -54,24 +56,28 @@
 }
 
 void Channel::read() {
-    if (closed_ || reading_ || paused_) return;
+    if (closed_ || reading_) return;
     reading_ = true;
-    socket_.async_read_some(input_.prepare(kReadSize),
-                            [this, self = shared_from_this()](const error_code& ec, std::size_t size) {
+    const bool drops = discarding_;
+    const auto buffer = drops ? boost::asio::buffer(dropped) : input_.prepare(kReadSize);
+    socket_.async_read_some(buffer,
+                            [this, drops, self = shared_from_this()](const error_code& ec, std::size_t size) {
                                 reading_ = false;
                                 if (closed_) return;
                                 if (ec) return fail();
                                 guarded([&] {
-                                    input_.commit(size);
-                                    received();
+                                    if (!drops && !discarding_) {
+                                        input_.commit(size);
+                                        received();
+                                    }
                                     read();
                                 });
                             });
 }
 
-void Channel::resumeReading() {
-    paused_ = false;
-    if (open_) read();
+void Channel::discardInput() {
+    discarding_ = true;
+    input_.consume(input_.size());
 }
 
 void Channel::flush() {
@@ -91,9 +97,7 @@
     }
     // On a broken connection nothing more is written; the pending read tells of its end, after what the
     // peer may still have said.
-    if (ec && ec != boost::asio::error::would_block && ec != boost::asio::error::try_again) {
-        return resumeReading();
-    }
+    if (ec && ec != boost::asio::error::would_block && ec != boost::asio::error::try_again) return;
     writing_ = true;
     socket_.async_wait(tcp::socket::wait_write, [this, self = shared_from_this()](const error_code& failure) {
         writing_ = false;
--- a/src/net/channel.h
+++ b/src/net/channel.h
@@ -62,9 +62,9 @@
     virtual void ended() = 0;     // the peer closed, or the connection failed or never came up
 
     boost::beast::flat_buffer& input() { return input_; }
-    // Stops reading until resumeReading: bounds what a peer can make this process hold.
-    void pauseReading() { paused_ = true; }
-    void resumeReading();
+    // From now on what comes is read and dropped, only to see the connection's end: bounds what a peer can
+    // make this process hold. Not reading would hide that the peer has left.
+    void discardInput();
     void shutdownSend();
     tcp::socket& socket() { return socket_; }
 
@@ -80,7 +80,7 @@
     std::size_t outputAt_ = 0;
     std::uint64_t written_ = 0;
     bool ownShortage_ = false;
-    bool open_ = false, closed_ = false, reading_ = false, writing_ = false, paused_ = false;
+    bool open_ = false, closed_ = false, reading_ = false, writing_ = false, discarding_ = false;
 };
 
 }  // namespace weldstall
--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -20,7 +20,7 @@
 
 constexpr std::size_t kMostBody = 64 * 1024;
 constexpr std::uint32_t kMostHeader = 16 * 1024;
-constexpr std::size_t kMostAhead = 96 * 1024;  // read while an answer is awaited
+constexpr std::size_t kMostAhead = 96 * 1024;  // kept while an answer is awaited
 constexpr Duration kLinger = seconds(1);       // for a client to take in a last answer
 constexpr Duration kAcceptPause = milliseconds(50);
 constexpr Duration kFreshGrace = milliseconds(400);  // for the first request on a new connection then
@@ -164,7 +164,6 @@
         heardAt = steady_clock::now();
         if (!allWritten()) answeredAt_ = listener_.clock_.now();
         if (!stays) return linger();
-        resumeReading();
         if (input().size() > 0) {  // the next one came early; not from within an answer to this one
             listener_.timers_.after(Duration::zero(), [self = weak_from_this()] {
                 if (const auto c = self.lock()) static_cast<ClientConnection&>(*c).next();
@@ -198,7 +197,7 @@
     void linger() {
         lingering_ = true;
         if (allWritten()) shutdownSend();
-        resumeReading();
+        discardInput();
         listener_.timers_.after(kLinger, [self = weak_from_this()] {
             const auto c = self.lock();
             if (c && c->isOpen()) static_cast<ClientConnection&>(*c).leave();
@@ -212,10 +211,10 @@
 
     void received() override {
         heardAt = steady_clock::now();
-        if (lingering_) return input().consume(input().size());
-        if (busy_) {  // only to notice that the client leaves
-            if (input().size() > kMostAhead) pauseReading();
-            return;
+        if (busy_) {  // only to notice that the client leaves; one that sends so much ahead is not kept
+            if (input().size() <= kMostAhead) return;
+            keepAlive_ = false;
+            return discardInput();
         }
         next();
     }
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -124,5 +124,46 @@
         ;
 }
 
+// ---- Clients that leave ---------------------------------------------------------------------------
+
+// A counter that is asked and holds its answer; who leaves meanwhile is not sent on.
+class CrossingCounter : public testing::Test {
+protected:
+    CrossingCounter() { customerId = customerOfAYoungSlice(); }
+    ~CrossingCounter() override { customerId = usual; }
+
+    const std::string usual = customerId;
+    static json counted() {
+        json s = settings();
+        s["domain"] = {{"mayCount", true}, {"counterTimeoutS", 20}, {"maxUnits", 4}};
+        for (json& c : s["classes"]) c["aimS"] = c["deadlineS"] = 400;  // the wait is a share of the aim
+        return s;
+    }
+    Server worker, counter;
+    Gate gate{Targets{target("w", worker)}, counted(), [this](json& c) { c["counter"] = counter.address(); }};
+};
+
+TEST_F(CrossingCounter, OneThatSentMuchAheadAndLeftIsSeenToHaveLeftAndNotSentOn) {
+    Socket client = gate.client();
+    client.write(request("load", "r1", 100'000));
+    Socket at = counter.accept();
+    EXPECT_TRUE(has(at.message(), "?add=1&"));
+    // Far more than the kernel holds for a reader that does not read.
+    const std::string ahead = request("spend", "ahead", 100'000, std::string(30'000, 'x'));
+    for (int i = 0; i < 1000; ++i) client.write(ahead);
+    client.close();
+    EXPECT_TRUE(has(at.message(), "?add=-1&"));  // its charge goes back
+    at.write(ok("1") + ok("0"));
+    Socket other = gate.client();
+    other.write(request("load", "r2", 100'000));
+    EXPECT_TRUE(has(at.message(), "?add=1&"));
+    at.write(ok("2"));  // not the first in its slice: the closed one is not read
+    Socket link = worker.accept();
+    EXPECT_TRUE(has(link.message(), "Request-Id: r2"));  // and never r1, nor what stood behind it
+    link.write(ok("served"));
+    EXPECT_EQ(statusOf(other.message()), 200);
+    EXPECT_FALSE(worker.waitReadable(0));
+}
+
 }  // namespace
 }  // namespace weldstall::test
--- a/tests/sockets.h
+++ b/tests/sockets.h
@@ -41,8 +41,16 @@
         close();
     }
     void write(const std::string& text) {
-        if (::send(fd_, text.data(), text.size(), MSG_NOSIGNAL) != static_cast<ssize_t>(text.size()))
-            throw std::runtime_error("send: " + std::string(std::strerror(errno)));
+        for (std::size_t at = 0; at < text.size();) {
+            const ssize_t size = ::send(fd_, text.data() + at, text.size() - at, MSG_NOSIGNAL | MSG_DONTWAIT);
+            if (size >= 0) {
+                at += static_cast<std::size_t>(size);
+                continue;
+            }
+            pollfd p{fd_, POLLOUT, 0};
+            if (errno != EAGAIN || ::poll(&p, 1, kPatienceMs) <= 0)
+                throw std::runtime_error("send: " + std::string(std::strerror(errno)));
+        }
     }
     bool waitReadable(int ms = kPatienceMs) const {
         pollfd p{fd_, POLLIN, 0};
