Do not reuse an idle connection whose end has come unread

Seen: checkOut peeked for bytes only; a pending end (recv gives nought, ec is eof) or reset read as 'nothing has come', so a request found in the same turn of the loop went out on a dead connection and ended as a reset: an unsafe one failed though nothing had run. At fault: Channel::hasInput as used by WorkerPool::checkOut. Ruled out: the same for clients' connections, where an end that has come may be closed upon. Forced by a stopped process whose client writes before its worker closes: CrossingIdle.OneWhoseEnd... fails before, by end and by reset.

--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -109,11 +109,12 @@
     });
 }
 
-bool Channel::hasInput() {
+Channel::Peeked Channel::peek() {
     char byte;
     error_code ec;
     const std::size_t size = socket_.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
-    return input_.size() > 0 || (!ec && size > 0);
+    if (ec == boost::asio::error::would_block || ec == boost::asio::error::try_again) return Peeked::nothing;
+    return !ec && size > 0 ? Peeked::bytes : Peeked::end;
 }
 
 void Channel::shutdownSend() {
--- a/src/net/channel.h
+++ b/src/net/channel.h
@@ -34,7 +34,9 @@
     // The dialling failed here, for want of a descriptor, and tells nothing of the peer.
     bool ownShortage() const { return ownShortage_; }
     // Bytes have come that were not taken in yet.
-    bool hasInput();
+    bool hasInput() { return input_.size() > 0 || peek() == Peeked::bytes; }
+    // Neither bytes nor the connection's end have come that were not taken in yet.
+    bool isQuiet() { return input_.size() == 0 && peek() == Peeked::nothing; }
     // Starts an accepted connection.
     void start();
     // Writes at once what the kernel takes, after all that was sent before.
@@ -69,6 +71,8 @@
     tcp::socket& socket() { return socket_; }
 
 private:
+    enum class Peeked { nothing, bytes, end };
+    Peeked peek();
     void read();
     void fail();
     template <class Step>
--- a/src/net/worker_pool.cpp
+++ b/src/net/worker_pool.cpp
@@ -250,7 +250,7 @@
         w.idle.pop_back();
         // What has come unasked, or the connection's end, is not read yet where both came since the last
         // look.
-        if (link->isOpen() && link->idleSince > oldest && !link->hasInput()) return link;
+        if (link->isOpen() && link->idleSince > oldest && link->isQuiet()) return link;
         link->close();
     }
     return nullptr;
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -165,5 +165,29 @@
     EXPECT_FALSE(worker.waitReadable(0));
 }
 
+// ---- Connections that stand idle ---------------------------------------------------------------------
+
+// The request is found before the end of the connection that would carry it: both have come by then.
+TEST(CrossingIdle, OneWhoseEndHasComeButIsNotReadYetCarriesNoUnsafeRequest) {
+    for (const bool reset : {false, true}) {
+        Server worker;
+        Gate gate(Targets{target("w", worker)});
+        Socket client = gate.client();
+        client.write(request("load", "r1"));
+        Socket at = worker.accept();
+        at.message();
+        at.write(ok("one"));
+        EXPECT_EQ(statusOf(client.message()), 200);
+        gate.whileStopped([&] {
+            client.write(request("spend", "r2", 8000, "x"));
+            reset ? at.reset() : at.close();
+        });
+        Socket fresh = worker.accept();
+        EXPECT_TRUE(has(fresh.message(), "Request-Id: r2"));
+        fresh.write(ok("two"));
+        EXPECT_EQ(statusOf(client.message()), 200);
+    }
+}
+
 }  // namespace
 }  // namespace weldstall::test
--- a/tests/gate.h
+++ b/tests/gate.h
@@ -121,6 +121,15 @@
         reload(changed.dump());
     }
     void terminate() const { ::kill(pid_, SIGTERM); }
+    // What comes while it is stopped it finds all at once, in the order in which it came.
+    template <class Meanwhile>
+    void whileStopped(Meanwhile&& act) const {
+        ::kill(pid_, SIGSTOP);
+        int status = 0;
+        ::waitpid(pid_, &status, WUNTRACED);
+        act();
+        ::kill(pid_, SIGCONT);
+    }
     int wait() {
         int status = 0;
         ::waitpid(std::exchange(pid_, -1), &status, 0);
