--- a/src/net/channel.h
+++ b/src/net/channel.h
@@ -34,7 +34,9 @@
     // The dialling failed here, for want of a descriptor, and tells nothing of the peer.
     bool ownShortage() const { return ownShortage_; }
     // Bytes have come that were not taken in yet.
-    bool hasInput();
+    bool hasInput() { return input_.size() > 0 || peek() == Peeked::bytes; }
+    // Neither bytes nor the connection's end have come that were not taken in yet.
+    bool isQuiet() { return input_.size() == 0 && peek() == Peeked::nothing; }
     // Starts an accepted connection.
     void start();
     // Writes at once what the kernel takes, after all that was sent before.
@@ -62,13 +64,15 @@
     virtual void ended() = 0;     // the peer closed, or the connection failed or never came up
 
     boost::beast::flat_buffer& input() { return input_; }
-    // Stops reading until resumeReading: bounds what a peer can make this process hold.
-    void pauseReading() { paused_ = true; }
-    void resumeReading();
+    // From now on what comes is read and dropped, only to see the connection's end: bounds what a peer can
+    // make this process hold. Not reading would hide that the peer has left.
+    void discardInput();
     void shutdownSend();
     tcp::socket& socket() { return socket_; }
 
 private:
+    enum class Peeked { nothing, bytes, end };
+    Peeked peek();
     void read();
     void fail();
     template <class Step>
@@ -80,7 +84,7 @@
     std::size_t outputAt_ = 0;
     std::uint64_t written_ = 0;
     bool ownShortage_ = false;
-    bool open_ = false, closed_ = false, reading_ = false, writing_ = false, paused_ = false;
+    bool open_ = false, closed_ = false, reading_ = false, writing_ = false, discarding_ = false;
 };
 
 }  // namespace weldstall
--- /dev/null
+++ b/tests/crossing_test.cpp
@@ -0,0 +1,193 @@
+// Moments at which an answer, a close, a list or a signal comes between two steps: each is forced by a peer
+// that holds, closes or resets just there, or by a gatekeeper that is stopped while its peers act.
+#include <gtest/gtest.h>
+
+#include <list>
+
+#include "gate.h"
+
+namespace weldstall::test {
+namespace {
+
+const std::string kWatchHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// ---- The list of records servers --------------------------------------------------------------------
+
+// A line that ends inside an object is no end of it; nor is a bracket inside a text.
+TEST(CrossingList, ObjectsComeIndentedInPiecesOrSeveralAtOnce) {
+    Server a, b;
+    json s = settings();
+    s["rules"]["drainGraceS"] = 600;  // the list alone keeps attempts away from a
+    Gate gate(Targets{target("a", a)}, s);
+    Socket watch = gate.discovery.accept();
+    watch.message();
+    json named = target("b", b);
+    named["note"] = "}{ \\\" ]";
+    const auto list = [](int index, const Targets& targets) {
+        return json{{"index", index}, {"snapshot", true}, {"endpoints", targets}};
+    };
+    const std::string indented = list(43, {named}).dump(2);
+    watch.write(kWatchHead + chunk("\n") + chunk(indented.substr(0, 40)) +
+                chunk(indented.substr(40) + "\n\n") +
+                chunk(list(44, {named}).dump(4) + list(45, {named}).dump()));
+    watch.close();
+    Socket next = gate.discovery.accept();
+    EXPECT_TRUE(has(next.message(), "since=45 "));  // all three were taken
+    for (int i = 0; i < 3; ++i) {
+        Socket client = gate.client();
+        client.write(request("spend", "r" + std::to_string(i), 8000, "x"));
+        Socket at = b.accept();
+        at.message();
+        at.write("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        EXPECT_EQ(statusOf(client.message()), 200);
+    }
+    EXPECT_FALSE(a.waitReadable(0));
+}
+
+// What can't be read changes nothing, and the next watch asks from the last good version.
+TEST(CrossingList, AnUnreadableOneEndsItsWatchAndTheNextAsksFromTheLastGoodVersion) {
+    Server worker;
+    Gate gate(Targets{target("w", worker)});
+    int index = 42;
+    for (const std::string& spoilt :
+         {std::string("noise\n"), std::string("{\"index\": 50, \"snapshot\"}\n"),
+          std::string("{\"index\": -1, \"snapshot\": true, \"endpoints\": []}\n"),
+          std::string("{\n  \"index\": 51,\n  \"snapshot\": true,\n  \"endpoints\": [{}]\n}\n")}) {
+        Socket watch = gate.discovery.accept();
+        watch.message();
+        watch.write(kWatchHead + listLine(index, false, {}) + chunk(spoilt));
+        EXPECT_TRUE(watch.atEnd()) << spoilt;
+        Socket next = gate.discovery.accept();
+        EXPECT_TRUE(has(next.message(), "since=" + std::to_string(index) + " ")) << spoilt;
+        next.close();
+        ++index;
+    }
+    Socket client = gate.client();
+    client.write(request("load", "r"));
+    Socket at = worker.accept();
+    at.message();
+    at.write(ok("served"));
+    EXPECT_EQ(statusOf(client.message()), 200);
+}
+
+// Its last word counts, not a window that began before it: 2.3 s after that, so before a request that came
+// just behind it runs out after 3.9 s, another watch is open.
+TEST(CrossingList, AWatchThatFallsSilentRightAfterAWordIsOpenedAnewInTime) {
+    Server worker;
+    Gate gate(Targets{target("w", worker)});
+    Socket watch = gate.discovery.accept();
+    watch.message();
+    watch.write(kWatchHead + chunk("\n"));
+    Socket client = gate.client();
+    client.write(request("load", "r", 3900));
+    EXPECT_NE(statusOf(client.message()), 200);
+    EXPECT_TRUE(gate.discovery.waitReadable(0));
+}
+
+// One that turned its caller away is let off for long; one that fell silent missed what counts 6 s later.
+TEST(CrossingList, WhereItMustBeAskedOneThatFallsSilentIsAskedAgainSoon) {
+    json s = settings();
+    s["discovery"] = "ask";
+    s["rules"]["mustAskInS"] = 3600;
+    Gate gate(Targets{}, s);
+    Socket watch = gate.discovery.accept();
+    watch.message();
+    watch.write(kWatchHead + chunk("\n"));
+    Socket next = gate.discovery.accept();
+    EXPECT_TRUE(has(next.message(), "since=41 "));
+    // That one never answers: it is let off like one that turned away, as others wait in the same queue.
+    EXPECT_TRUE(next.atEnd());
+    EXPECT_FALSE(gate.discovery.waitReadable(2000));
+}
+
+int readiness(Socket& client) {
+    client.write("GET /-/ready HTTP/1.1\r\n\r\n");
+    return statusOf(client.message());
+}
+
+// What the agent has counts as told from the first moment of a process: its list is waited for.
+TEST(CrossingList, ANewProcessIsReadyOnceItsAgentToldWhatItHas) {
+    Server worker;
+    const auto waits = [](int ms) { return [ms](json& c) { c["listWaitMs"] = ms; }; };
+    Gate gate(Targets{target("w", worker)}, settings(), waits(3600'000));
+    Socket watch = gate.discovery.accept();
+    watch.message();
+    Socket client = gate.client();
+    EXPECT_EQ(readiness(client), 503);
+    watch.write(kWatchHead + listLine(41, false, {}));
+    while (readiness(client) != 200)
+        ;
+    // One that says nothing, as while discovery is down, keeps nobody waiting for long.
+    Gate silent(Targets{target("w", worker)}, settings(), waits(1));
+    Socket other = silent.client();
+    while (readiness(other) != 200)
+        ;
+}
+
+// ---- Clients that leave ---------------------------------------------------------------------------
+
+// A counter that is asked and holds its answer; who leaves meanwhile is not sent on.
+class CrossingCounter : public testing::Test {
+protected:
+    CrossingCounter() { customerId = customerOfAYoungSlice(); }
+    ~CrossingCounter() override { customerId = usual; }
+
+    const std::string usual = customerId;
+    static json counted() {
+        json s = settings();
+        s["domain"] = {{"mayCount", true}, {"counterTimeoutS", 20}, {"maxUnits", 4}};
+        for (json& c : s["classes"]) c["aimS"] = c["deadlineS"] = 400;  // the wait is a share of the aim
+        return s;
+    }
+    Server worker, counter;
+    Gate gate{Targets{target("w", worker)}, counted(), [this](json& c) { c["counter"] = counter.address(); }};
+};
+
+TEST_F(CrossingCounter, OneThatSentMuchAheadAndLeftIsSeenToHaveLeftAndNotSentOn) {
+    Socket client = gate.client();
+    client.write(request("load", "r1", 100'000));
+    Socket at = counter.accept();
+    EXPECT_TRUE(has(at.message(), "?add=1&"));
+    // Far more than the kernel holds for a reader that does not read.
+    const std::string ahead = request("spend", "ahead", 100'000, std::string(30'000, 'x'));
+    for (int i = 0; i < 1000; ++i) client.write(ahead);
+    client.close();
+    EXPECT_TRUE(has(at.message(), "?add=-1&"));  // its charge goes back
+    at.write(ok("1") + ok("0"));
+    Socket other = gate.client();
+    other.write(request("load", "r2", 100'000));
+    EXPECT_TRUE(has(at.message(), "?add=1&"));
+    at.write(ok("2"));  // not the first in its slice: the closed one is not read
+    Socket link = worker.accept();
+    EXPECT_TRUE(has(link.message(), "Request-Id: r2"));  // and never r1, nor what stood behind it
+    link.write(ok("served"));
+    EXPECT_EQ(statusOf(other.message()), 200);
+    EXPECT_FALSE(worker.waitReadable(0));
+}
+
+// ---- Connections that stand idle ---------------------------------------------------------------------
+
+// The request is found before the end of the connection that would carry it: both have come by then.
+TEST(CrossingIdle, OneWhoseEndHasComeButIsNotReadYetCarriesNoUnsafeRequest) {
+    for (const bool reset : {false, true}) {
+        Server worker;
+        Gate gate(Targets{target("w", worker)});
+        Socket client = gate.client();
+        client.write(request("load", "r1"));
+        Socket at = worker.accept();
+        at.message();
+        at.write(ok("one"));
+        EXPECT_EQ(statusOf(client.message()), 200);
+        gate.whileStopped([&] {
+            client.write(request("spend", "r2", 8000, "x"));
+            reset ? at.reset() : at.close();
+        });
+        Socket fresh = worker.accept();
+        EXPECT_TRUE(has(fresh.message(), "Request-Id: r2"));
+        fresh.write(ok("two"));
+        EXPECT_EQ(statusOf(client.message()), 200);
+    }
+}
+
+}  // namespace
+}  // namespace weldstall::test
