--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -20,6 +20,7 @@
     limits.connections = c.sockets * kWorkerShare / 100;
     limits.dial = c.settings.dialTimeout;
     limits.keepAlive = c.keepAlive;
+    limits.rest = c.rest;
     limits.drainGrace = c.settings.drainGrace;
     return limits;
 }
--- a/src/net/worker_pool.cpp
+++ b/src/net/worker_pool.cpp
@@ -243,11 +243,14 @@
 }
 
 WorkerPool::Link WorkerPool::checkOut(Worker& w) {
-    const Moment oldest = std::chrono::steady_clock::now() -
-                          std::chrono::duration_cast<Duration>(limits_.keepAlive * kIdleShare);
-    while (!w.idle.empty()) {
-        Link link = std::move(w.idle.back());
-        w.idle.pop_back();
+    const Moment now = std::chrono::steady_clock::now();
+    const Moment oldest = now - std::chrono::duration_cast<Duration>(limits_.keepAlive * kIdleShare);
+    // Those that rest stand at the back.
+    auto end = w.idle.end();
+    while (end != w.idle.begin() && now - (*std::prev(end))->idleSince < limits_.rest) --end;
+    while (end != w.idle.begin()) {
+        Link link = std::move(*--end);
+        end = w.idle.erase(end);
         // What has come unasked, or the connection's end, is not read yet where both came since the last
         // look.
         if (link->isOpen() && link->idleSince > oldest && link->isQuiet()) return link;
--- a/src/net/worker_pool.h
+++ b/src/net/worker_pool.h
@@ -35,6 +35,7 @@
     struct Limits {
         std::size_t connections = 256;  // over all workers
         slipshift::Duration dial{}, keepAlive{}, drainGrace{};
+        slipshift::Duration rest{};  // of a connection after an answer
     };
     using Number = std::uint64_t;
     using Done = std::function<void(Number, AttemptResult&&)>;
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -189,5 +189,24 @@
     }
 }
 
+// The second answer comes when the next request is on its way: on the same connection it would be served.
+TEST(CrossingIdle, ASecondAnswerThatComesLateIsNoOtherRequests) {
+    Server worker;
+    Gate gate(Targets{target("w", worker)}, settings(), [](json& c) { c["restMs"] = 3600'000; });
+    Socket client = gate.client();
+    client.write(request("load", "r1"));
+    Socket at = worker.accept();
+    at.message();
+    at.write(ok("one"));
+    EXPECT_EQ(bodyOf(client.message()), "one");
+    client.write(request("load", "r2"));
+    Socket fresh = worker.accept();
+    fresh.message();
+    at.write(ok("one"));
+    EXPECT_TRUE(at.atEnd());  // unasked: the connection is of no further use
+    fresh.write(ok("two"));
+    EXPECT_EQ(bodyOf(client.message()), "two");
+}
+
 }  // namespace
 }  // namespace weldstall::test
--- a/tests/gate.h
+++ b/tests/gate.h
@@ -84,6 +84,7 @@
                 Config read = readConfig(config.dump());
                 read.stillListen = std::chrono::seconds(3);  // so that a slow machine sees it listen
                 read.listWait = std::chrono::milliseconds(config.value("listWaitMs", 0));
+                read.rest = std::chrono::milliseconds(config.value("restMs", 0));
                 if (config.contains("mostPartialMs"))
                     read.mostPartial = std::chrono::milliseconds(config["mostPartialMs"].get<int>());
                 serve(read, [&](const Config::Endpoint& at) {
