Give up attempts not yet sent when the client leaves, and take their charge back

Seen: a client that left while its attempt's connection came up had it called off only where the settings allow cancel; elsewhere the attempt went out when the connection was up (WorkerPool::connected). In both cases its charge stayed on the counter, as on(AttemptEnded) gave nothing back once the request was closed. Now Host::gone gives up what has not gone out whole, as never sent, and a request that reached no records server draws nothing from its quota (with a ceiling, which counts the first attempt, only where none was made). Ruled out: waiting for the counter (decided at once, its charge taken back). Test: CrossingCounter.OneThatLeftWhile..., with and without cancel; fails before.

--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -751,7 +751,7 @@
         const Duration left = timeLeft(r);
         const int choice = left > Duration{} && out_ + chance() < limit_ ? choose(r) : -1;
         if (choice < 0) {
-            if (r.attempts.empty()) refundUnsent(r);
+            if (!r.reached) refundUnsent(r);
             return finishUnserved(id, r, fromSeconds(workOf(r)));
         }
         Worker& w = workers_[static_cast<std::size_t>(choice)];
@@ -806,12 +806,16 @@
         }
         if (e.meteredPercent && c != nullptr) c->use = blend(c->use, *e.meteredPercent / 100, kSmooth);
         if (e.trueUnits && c != nullptr) settle(r, *c, *e.trueUnits - r.told.units);
+        // A ceiling takes units at the first attempt, a quota where it reaches a worker.
+        const bool neverUp = e.outcome == Outcome::connectFailed && planCeiling(r) <= 0;
+        r.reached = r.reached || (e.outcome != Outcome::notSent && !neverUp);
         if (e.closed) r.closed = true;
-        if (r.closed) return forgetIfDone(*id, r);
-        if (mayRetry(r)) {
+        if (!r.closed && mayRetry(r)) {
             retries_ -= 1;
             return dispatch(*id, r);
         }
+        if (!r.reached && !outstanding(r)) refundUnsent(r);
+        if (r.closed) return forgetIfDone(*id, r);
         finishUnserved(*id, r, fromSeconds(workOf(r)));
     }
 
@@ -914,7 +918,7 @@
         forgetIfDone(id, r);
     }
 
-    // A request that was charged but never sent draws nothing from the quota.
+    // A request that was charged but reached no worker draws nothing from the quota.
     void refundUnsent(const Request& r) {
         const Plan* plan = planOf(r.told);
         Customer* c = knownCustomer(r);
@@ -981,6 +985,10 @@
     const RequestClass& classOf(const Request& r) const {
         return s_.classes[static_cast<std::size_t>(r.told.requestClass)];
     }
+    double planCeiling(const Request& r) const {
+        const Plan* plan = planOf(r.told);
+        return plan == nullptr ? 0 : plan->ceilingRate;
+    }
     const Plan* planOf(const RequestArrived& told) const {
         return s_.plans.empty() ? nullptr : &s_.plans[static_cast<std::size_t>(told.plan)];
     }
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -122,7 +122,10 @@
     const auto found = requests_.find(id);
     if (found == requests_.end() || !found->second.client) return;
     found->second.client = nullptr;
+    const std::vector<WorkerPool::Number> attempts = found->second.attempts;
     tell(RequestGone{id});
+    // What has not gone out yet never will, whatever may be called off: nobody waits for it.
+    for (const WorkerPool::Number attempt : attempts) workers_.cancelUnsent(attempt);
     // With no attempt out nothing else would end it: its id would stay in hand for ever.
     forgetIfDone(id);
 }
--- a/src/net/worker_pool.cpp
+++ b/src/net/worker_pool.cpp
@@ -324,15 +324,18 @@
 }
 
 // An attempt whose last byte has not gone to the kernel can't have been begun; after that it may have run.
+bool WorkerPool::sentWhole(const WorkerConnection& link) {
+    return link.written() > link.before && link.allWritten();
+}
+
 void WorkerPool::broken(const Link& link) {
     const Number number = link->attempt();
     if (number == 0) return discard(link);
     AttemptResult result;
-    const bool sentWhole = link->written() > link->before && link->allWritten();
     // The end of a connection that stood idle, or a shortage here, tells nothing of whether the worker is
     // well.
     const bool ours = link->before > 0 || link->ownShortage();
-    result.outcome = sentWhole ? Outcome::reset : ours ? Outcome::notSent : Outcome::connectFailed;
+    result.outcome = sentWhole(*link) ? Outcome::reset : ours ? Outcome::notSent : Outcome::connectFailed;
     finish(number, std::move(result));
 }
 
@@ -347,8 +350,7 @@
     const Link link = found->second.link;
     link->close();
     AttemptResult result;
-    const bool sentWhole = link->written() > link->before && link->allWritten();
-    result.outcome = sentWhole ? Outcome::timedOut : Outcome::connectFailed;
+    result.outcome = sentWhole(*link) ? Outcome::timedOut : Outcome::connectFailed;
     // A machine that was cut off says nothing and its connections stay open: where nothing at all was heard
     // of it meanwhile, the idle ones go too, and the next attempt's dialling shows whether it is there.
     Worker& w = *found->second.worker;
@@ -359,12 +361,18 @@
 void WorkerPool::cancel(Number number) {
     const auto found = attempts_.find(number);
     if (found == attempts_.end()) return;
-    found->second.link->close();
+    const Link link = found->second.link;
+    link->close();
     AttemptResult result;
-    result.outcome = Outcome::cancelled;
+    result.outcome = sentWhole(*link) ? Outcome::cancelled : Outcome::notSent;
     finish(number, std::move(result));
 }
 
+void WorkerPool::cancelUnsent(Number number) {
+    const auto found = attempts_.find(number);
+    if (found != attempts_.end() && !sentWhole(*found->second.link)) cancel(number);
+}
+
 void WorkerPool::finish(Number number, AttemptResult&& result) {
     const auto found = attempts_.find(number);
     if (found == attempts_.end()) return;
--- a/src/net/worker_pool.h
+++ b/src/net/worker_pool.h
@@ -48,6 +48,8 @@
     void start(Number attempt, const std::string& worker, Duration timeout,
                std::shared_ptr<const Forwarded> request);
     void cancel(Number attempt);
+    // Gives up one that has not gone out whole, as while its connection comes up: it never begins.
+    void cancelUnsent(Number attempt);
     std::size_t connections() const { return *connections_; }
 
 private:
@@ -71,6 +73,7 @@
     };
 
     bool maySend(const Worker& w) const;
+    static bool sentWhole(const WorkerConnection& link);
     void leave(Worker& w);
     Link checkOut(Worker& w);
     void dropIdle(Worker& w);
--- a/src/state.h
+++ b/src/state.h
@@ -100,6 +100,7 @@
     bool streaming = false;
     std::vector<Attempt> attempts;
     bool mayHaveRun = false;
+    bool reached = false;    // an attempt got as far as a worker, or the plan's ceiling counts it as if
     int zone = 0, cell = 0;  // of the first attempt's worker that may have run; its slot may be another's
     Time groupSince{};
 };
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -165,6 +165,39 @@
     EXPECT_FALSE(worker.waitReadable(0));
 }
 
+// Its connection is still coming up: what never went out draws nothing from the quota and never will go out,
+// also where no attempt may be called off.
+TEST_F(CrossingCounter, OneThatLeftWhileItsConnectionCameUpIsNotSentOnAndItsChargeGoesBack) {
+    for (const bool mayCancel : {true, false}) {
+        Server full(0);  // its queue takes one connection; the next does not come up until that is accepted
+        Socket plug = connectTo(full.port);
+        json s = counted();
+        s["allowed"]["cancel"] = mayCancel;
+        Server count;
+        Gate dialling(Targets{target("w", full)}, s, [&](json& c) { c["counter"] = count.address(); });
+        Socket client = dialling.client();
+        client.write(request("spend", "r1", 100'000, "x"));
+        Socket at = count.accept();
+        EXPECT_TRUE(has(at.message(), "?add=1&"));
+        at.write(ok("2"));
+        Socket probe = dialling.client();  // answered in order: the request before is being dialled by then
+        probe.write("GET /-/ready HTTP/1.1\r\n\r\n");
+        probe.message();
+        client.close();
+        EXPECT_TRUE(has(at.message(), "?add=-1&"));
+        full.accept();
+        at.write(ok("1"));
+        Socket other = dialling.client();
+        std::string free = request("spend", "r2", 100'000, "x");
+        other.write(free.replace(free.find("team"), 4, "free"));
+        Socket link = full.accept();
+        EXPECT_TRUE(has(link.message(), "Request-Id: r2"));
+        link.write(ok("served"));
+        EXPECT_EQ(statusOf(other.message()), 200);
+        EXPECT_FALSE(full.waitReadable(1500));  // the kernel tries to connect again after 1 s
+    }
+}
+
 // ---- Connections that stand idle ---------------------------------------------------------------------
 
 // The request is found before the end of the connection that would carry it: both have come by then.
