While draining, end idle connections before the listener closes

STANDING: after SIGTERM clients send on every connection that stays open. Seen by reading and the test: idle connections stayed until the listener closed after 0.5 s, so a request that crossed their end was sent once more to a closed port; fresh ones stayed 0.4 s longer, to 0.9 s, past the 0.7 s from which what SIGKILL finds unanswered is lost. At fault: ClientListener::drain, sweepDraining's grace. Now idle ones end from 0.25 s on, the listener at 0.5 s, fresh ones by 0.7 s. Ruled out: the accept queue (taken whole before the close), half-read requests (ended after 1 s), a request read with the signal (served).

--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -23,7 +23,7 @@
 constexpr std::size_t kMostAhead = 96 * 1024;  // kept while an answer is awaited
 constexpr Duration kLinger = seconds(1);       // for a client to take in a last answer
 constexpr Duration kAcceptPause = milliseconds(50);
-constexpr Duration kFreshGrace = milliseconds(400);  // for the first request on a new connection then
+constexpr Duration kFreshGrace = milliseconds(150);  // for the first request on a new connection then
 constexpr Duration kSweep = milliseconds(250);
 constexpr Duration kDrainSweep = milliseconds(50);
 constexpr std::uint64_t kCustomers = 1ull << 33;
@@ -411,10 +411,14 @@
     timers_.after(kSweep, [this] { sweep(); });
 }
 
+// Idle connections end while new ones are still taken: a client whose request crosses such an end sends it
+// once more, and finds somebody. All have ended, or carry a request, before what still comes might be killed
+// with it.
 void ClientListener::drain(std::function<void()> done) {
     if (draining_) return;
     draining_ = true;
     drained_ = std::move(done);
+    timers_.after(rules_.idleStays, [this] { sweepDraining(); });
     timers_.after(rules_.stillListen, [this] {
         // What stands in the queue has been taken by this machine: it would be lost with the listener.
         for (error_code ec; !ec;) {
@@ -425,7 +429,6 @@
         listening_ = false;
         error_code ec;
         acceptor_.close(ec);
-        sweepDraining();
     });
 }
 
@@ -439,7 +442,7 @@
         if (client->stuckFor(clock_.now()) > kLinger) idle.push_back(client);
     }
     for (const Link& client : idle) client->leave();
-    if (!clients_.empty())
+    if (listening_ || !clients_.empty())
         timers_.after(kDrainSweep, [this] { sweepDraining(); });
     else if (drained_)
         std::exchange(drained_, nullptr)();
--- a/src/net/client_listener.h
+++ b/src/net/client_listener.h
@@ -35,6 +35,7 @@
         int gatekeepers = 1;
         std::size_t connections = 512;
         Duration stillListen{};  // once it drains
+        Duration idleStays{};    // the same, for connections without a request
         Duration mostPartial{};  // for a connection's first request to begin, for one to come whole
         Duration mostUntaken = std::chrono::seconds(10);  // for an answer to be taken
         double mostUnits = 1;
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -24,6 +24,7 @@
     slipshift::Duration keepAlive{};          // a worker closes a connection that was idle for this long
     // After SIGTERM new connections go on coming for this long at least.
     slipshift::Duration stillListen = std::chrono::milliseconds(500);
+    slipshift::Duration idleStays = std::chrono::milliseconds(250);  // connections without a request then
     // A new process waits so long for the list that its agent has, which counts as told, before it is ready
     // on the one it was given. Longer would be no use: the agent says nothing while discovery is down.
     slipshift::Duration listWait = std::chrono::milliseconds(500);
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -42,6 +42,7 @@
     rules.gatekeepers = c.settings.gatekeepers;
     rules.connections = c.sockets * kClientShare / 100;
     rules.stillListen = c.stillListen;
+    rules.idleStays = c.idleStays;
     rules.mostPartial = c.mostPartial;
     rules.mostUnits = c.settings.maxUnits;
     return rules;
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -241,5 +241,28 @@
     EXPECT_EQ(bodyOf(client.message()), "two");
 }
 
+// ---- The end of a process ---------------------------------------------------------------------------
+
+// A request that crosses the end of its idle connection is sent once more: somebody still listens then.
+TEST(CrossingShutdown, IdleConnectionsEndWhileNewOnesAreStillTaken) {
+    Server worker;
+    Gate gate(Targets{target("w", worker)}, settings(), [](json& c) {
+        c["stillListenMs"] = 3600'000;
+        c["idleStaysMs"] = 1;
+    });
+    Socket idle = gate.client();
+    EXPECT_EQ(readiness(idle), 200);
+    gate.terminate();
+    EXPECT_TRUE(idle.atEnd());
+    Socket again = gate.client();
+    again.write(request("spend", "r", 8000, "x"));
+    Socket at = worker.accept();
+    at.message();
+    at.write(ok("served"));
+    const std::string answer = again.message();
+    EXPECT_EQ(statusOf(answer), 200);
+    EXPECT_TRUE(has(answer, "Connection: close"));
+}
+
 }  // namespace
 }  // namespace weldstall::test
--- a/tests/gate.h
+++ b/tests/gate.h
@@ -82,7 +82,9 @@
                     ::setrlimit(RLIMIT_NOFILE, &limit);
                 }
                 Config read = readConfig(config.dump());
-                read.stillListen = std::chrono::seconds(3);  // so that a slow machine sees it listen
+                // So that a slow machine sees it listen.
+                read.stillListen = std::chrono::milliseconds(config.value("stillListenMs", 3000));
+                read.idleStays = std::chrono::milliseconds(config.value("idleStaysMs", 3000));
                 read.listWait = std::chrono::milliseconds(config.value("listWaitMs", 0));
                 read.rest = std::chrono::milliseconds(config.value("restMs", 0));
                 if (config.contains("mostPartialMs"))
