Let settlements go out to the counter before a drained process ends

Seen by reading and the test: the loop stopped as soon as the last client had left (serve: io.stop), while what the last answers had settled, and charges taken back, waited up to a tenth of a slice on the module's timers, or for the counter's connection; each restart lost them. Now Host::settle waits until no timer of the module and no call is open, 1 s at most, with nobody waiting for an answer any more. Ruled out: answers to clients (all have left by then). Test: CrossingShutdown.WhatTheLastAnswerCost..., failing before.

--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -298,6 +298,12 @@
         if (std::exchange(lane.unflushed, false) && lane.link) lane.link->flush();
 }
 
+bool CounterClient::isIdle() const {
+    return std::all_of(lanes_.begin(), lanes_.end(), [](const Lane& lane) {
+        return (!lane.link || lane.link->allTold()) && (!lane.before || lane.before->allTold());
+    });
+}
+
 void CounterClient::broke(const CounterConnection& link, std::size_t index, bool wasOpen) {
     Lane& lane = lanes_[index];
     if (lane.link.get() != &link) return;
--- a/src/net/counter_client.h
+++ b/src/net/counter_client.h
@@ -29,6 +29,8 @@
     // Every call ends with one Answered, at the earliest within this call. It goes out with flush().
     void add(const slipshift::AddToCount& call);
     void flush();
+    // Every call has been told of.
+    bool isIdle() const;
     // Goes over to the counter at another address: calls made from now on go there, each name's after those
     // that are out at the old one have been told.
     void move(const tcp::endpoint& address);
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -14,6 +14,9 @@
 constexpr Duration kPushBackoffMost = std::chrono::milliseconds(200);  // what it then tells counts at once
 // Where all gatekeepers' watches fall silent together: small beside the 6 s after which the list counts.
 constexpr Duration kSilentSpread = std::chrono::seconds(1);
+// For settlements and charges taken back to go out once nobody waits for an answer, and how often that is
+// looked at.
+constexpr Duration kMostSettling = std::chrono::seconds(1), kSettleLook = std::chrono::milliseconds(20);
 
 WorkerPool::Limits poolLimits(const Config& c) {
     WorkerPool::Limits limits;
@@ -93,10 +96,19 @@
 }
 
 void Host::drain(std::function<void()> done) {
-    listener_.drain([this, done = std::move(done)] {
-        discovery_.stop();
-        done();
-    });
+    listener_.drain(
+        [this, done = std::move(done)] { settle(std::chrono::steady_clock::now() + kMostSettling, done); });
+}
+
+// What the module still means to tell the counter waits on its timers.
+void Host::settle(std::chrono::steady_clock::time_point until, std::function<void()> done) {
+    const bool settled = timersSet_ == 0 && (!counter_ || counter_->isIdle());
+    if (!settled && std::chrono::steady_clock::now() < until) {
+        timers_.after(kSettleLook, [this, until, done = std::move(done)] { settle(until, done); });
+        return;
+    }
+    discovery_.stop();
+    done();
 }
 
 // ---- Events ---------------------------------------------------------------------------------------
@@ -227,7 +239,11 @@
 }
 
 void Host::perform(const SetTimer& a) {
-    timers_.after(a.after, [this, timer = a.timer] { tell(TimerFired{timer}); });
+    ++timersSet_;
+    timers_.after(a.after, [this, timer = a.timer] {
+        --timersSet_;
+        tell(TimerFired{timer});
+    });
 }
 
 void Host::perform(const LogLine& a) {
--- a/src/net/host.h
+++ b/src/net/host.h
@@ -26,7 +26,8 @@
     void start();
     // Goes over to the discovery and the counter that `config` names; all else stays.
     void reload(const Config& config);
-    // Answers what is taken, then reports; nothing new is begun after that.
+    // Answers what is taken, lets what is owed to the counter go out, then reports; nothing new is begun
+    // after that.
     void drain(std::function<void()> done);
     tcp::endpoint address() const { return listener_.address(); }
 
@@ -53,6 +54,7 @@
         if (!running_) run();
     }
     void run();
+    void settle(std::chrono::steady_clock::time_point until, std::function<void()> done);
     void perform(const slipshift::SendAttempt& a);
     void perform(const slipshift::CancelAttempt& a);
     void perform(const slipshift::Refuse& a);
@@ -79,6 +81,7 @@
     WorkerPool::Number nextAttempt_ = 1;
     std::deque<slipshift::Event> events_;
     slipshift::Actions actions_;
+    std::size_t timersSet_ = 0;  // by the module, and not fired yet
     bool running_ = false;
     bool listKnown_ = false;
     bool listCurrent_ = false;  // discovery has told what it has, or was waited for long enough
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -264,5 +264,42 @@
     EXPECT_TRUE(has(answer, "Connection: close"));
 }
 
+// What the last answer settles goes to the counter soon after it: not before the process has ended.
+TEST(CrossingShutdown, WhatTheLastAnswerCostIsStillSettled) {
+    Server worker, counter;
+    json s = settings();
+    s["domain"] = {{"mayCount", true}, {"counterTimeoutS", 20}, {"maxUnits", 4}, {"postPaid", true}};
+    s["contracts"][0] = {{"name", "team"}, {"perSecond", 8}, {"depth", 4}};  // slices of half a second
+    for (json& c : s["classes"]) c["aimS"] = c["deadlineS"] = 400;
+    Gate gate(Targets{target("w", worker)}, s, [&](json& c) {
+        c["counter"] = counter.address();
+        c["stillListenMs"] = c["idleStaysMs"] = 1;
+    });
+    Socket client = gate.client();
+    client.write(request("load", "r", 100'000));
+    Socket at = counter.accept();
+    EXPECT_TRUE(has(at.message(), "?add=1&"));
+    at.write(ok("2"));
+    Socket link = worker.accept();
+    link.message();
+    gate.terminate();
+    EXPECT_THROW(for (;;) gate.client(), std::runtime_error);  // until it listens no more
+    link.write(ok("served", "X-Settled: 3\r\n"));
+    EXPECT_EQ(statusOf(client.message()), 200);
+    client.close();
+    // The slice is another one by now, and by its name so may the connection be.
+    std::optional<std::string> call;
+    while (!call) {
+        pollfd either[2] = {{at.fd(), POLLIN, 0}, {counter.fd(), POLLIN, 0}};
+        ASSERT_GT(::poll(either, 2, kPatienceMs), 0);
+        if (either[1].revents != 0) at = counter.accept();
+        call = at.readMessage();
+        if (!call) at.close();
+    }
+    EXPECT_TRUE(has(*call, "?add=2&")) << *call;
+    at.write(ok("2"));
+    EXPECT_EQ(gate.wait(), 0);
+}
+
 }  // namespace
 }  // namespace weldstall::test
