Let fewer unasked requests in near a quota where one too many costs

So what goes unasked is the cause: the meter shows what was sent on, so a customer held to its quota reads 1 however much it asks for, and decide() let all of it in (chance x max(use, 1)^3 < 1). Test: Counter.UnaskedOnesOfACustomerAtItsQuota..., failing before.

--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -32,7 +32,8 @@
 constexpr double kThinShare = 0.1;   // share of a customer's requests under which its own tell nothing of it
 constexpr double kThinStandFor = 8;  // what an add of such a customer stands for at most, itself in
 constexpr double kUseStart = 0.9;    // what a customer is taken to use of its quota before the meter told
-constexpr double kUsePower = 3;      // how steeply unasked ones are let in less as the use passes the quota
+constexpr double kUsePower = 4;      // how steeply unasked ones are let in less as the use nears the quota
+constexpr double kUseMargin = 0.25;  // of the quota: from so far under it, where one too many earns nothing
 constexpr double kSettleLeast = 0.25;  // least chance that a settlement of a rare customer is posted
 constexpr double kCountRise = 0.01;    // what a quick answer adds to that share
 constexpr double kCountRegain = 0.05;  // what it adds for each second since the answer before
@@ -355,8 +356,7 @@
             if (r.answered) c.refusedAt = within ? Time{} : now_;
             if (c.refusedAt == now_) c.use = std::max(c.use, 1.0);
         }
-        if (within && !r.answered && isThin(c, plan))
-            within = chance() * std::pow(std::max(c.use, 1.0), kUsePower) < 1;
+        if (within && !r.answered && isThin(c, plan)) within = chance() < unaskedShare(c, plan);
         if (plan.concurrency > 0)
             within = within && c.out < std::max(1.0, std::floor(plan.concurrency * shareOf(c, plan)));
         const bool blind = !r.answered || slice == nullptr;
@@ -379,6 +379,13 @@
         dispatch(id, r);
     }
 
+    // What is let in of such a customer without an answer. The meter shows what was sent on, so one that is
+    // held to its quota reads 1 however much it asks for: where one too many costs, less goes before that.
+    double unaskedShare(const Customer& c, const Plan& plan) const {
+        const double full = 1 - kUseMargin * std::clamp(plan.overCost - plan.overWorth, 0.0, 1.0);
+        return std::pow(std::min(1.0, full / std::max(c.use, 1e-9)), kUsePower);
+    }
+
     double startOf(CustomerId id, const Plan& plan, std::int64_t index) const {
         return (static_cast<double>(index) - phase(id)) * sliceOf(plan);
     }
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -558,6 +558,38 @@
     EXPECT_GT(adds[0], adds[1] + 10);
 }
 
+// A customer held to its quota reads 100% however much it asks for. Over a whole fleet, all that goes unasked
+// then comes on top of it.
+TEST(Counter, UnaskedOnesOfACustomerAtItsQuotaAreLetInLessWhereOneTooManyCosts) {
+    const auto sharedLetIn = [](double overCost) {
+        Settings s = plainSettings();
+        s.gatekeepers = 100;
+        s.meterPeriod = milliseconds(1000);
+        s.plans[0].rate = 200;
+        s.plans[0].burst = 800;
+        s.plans[0].overCost = overCost;
+        Rig rig(s, 60);
+        rig.counting = false;
+        for (int i = 0; i < 400; ++i) {
+            const std::size_t before = rig.sends.size();
+            rig.request(1, 5, milliseconds(2500), 75);
+            rig.failHeldAdds(Outcome::connectFailed);
+            rig.advance(milliseconds(50));
+            if (rig.sends.size() == before) continue;
+            AttemptEnded e;
+            e.request = rig.sends.back().request;
+            e.worker = rig.sends.back().worker;
+            e.closed = true;
+            e.meteredPercent = 100;
+            rig.feed(e);
+        }
+        return static_cast<double>(rig.sends.size()) / 400;
+    };
+    EXPECT_GT(sharedLetIn(0), 0.95);
+    EXPECT_LT(sharedLetIn(1), 0.45);
+    EXPECT_GT(sharedLetIn(1), 0.2);
+}
+
 TEST(Window, ChargesTakenBackInAClosedSliceGiveTheirRoomBack) {
     Rig rig(plainSettings());
     rig.request();
