--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -165,6 +165,39 @@
     EXPECT_FALSE(worker.waitReadable(0));
 }
 
+// Its connection is still coming up: what never went out draws nothing from the quota and never will go out,
+// also where no attempt may be called off.
+TEST_F(CrossingCounter, OneThatLeftWhileItsConnectionCameUpIsNotSentOnAndItsChargeGoesBack) {
+    for (const bool mayCancel : {true, false}) {
+        Server full(0);  // its queue takes one connection; the next does not come up until that is accepted
+        Socket plug = connectTo(full.port);
+        json s = counted();
+        s["allowed"]["cancel"] = mayCancel;
+        Server count;
+        Gate dialling(Targets{target("w", full)}, s, [&](json& c) { c["counter"] = count.address(); });
+        Socket client = dialling.client();
+        client.write(request("spend", "r1", 100'000, "x"));
+        Socket at = count.accept();
+        EXPECT_TRUE(has(at.message(), "?add=1&"));
+        at.write(ok("2"));
+        Socket probe = dialling.client();  // answered in order: the request before is being dialled by then
+        probe.write("GET /-/ready HTTP/1.1\r\n\r\n");
+        probe.message();
+        client.close();
+        EXPECT_TRUE(has(at.message(), "?add=-1&"));
+        full.accept();
+        at.write(ok("1"));
+        Socket other = dialling.client();
+        std::string free = request("spend", "r2", 100'000, "x");
+        other.write(free.replace(free.find("team"), 4, "free"));
+        Socket link = full.accept();
+        EXPECT_TRUE(has(link.message(), "Request-Id: r2"));
+        link.write(ok("served"));
+        EXPECT_EQ(statusOf(other.message()), 200);
+        EXPECT_FALSE(full.waitReadable(1500));  // the kernel tries to connect again after 1 s
+    }
+}
+
 // ---- Connections that stand idle ---------------------------------------------------------------------
 
 // The request is found before the end of the connection that would carry it: both have come by then.
@@ -189,5 +222,84 @@
     }
 }
 
+// The second answer comes when the next request is on its way: on the same connection it would be served.
+TEST(CrossingIdle, ASecondAnswerThatComesLateIsNoOtherRequests) {
+    Server worker;
+    Gate gate(Targets{target("w", worker)}, settings(), [](json& c) { c["restMs"] = 3600'000; });
+    Socket client = gate.client();
+    client.write(request("load", "r1"));
+    Socket at = worker.accept();
+    at.message();
+    at.write(ok("one"));
+    EXPECT_EQ(bodyOf(client.message()), "one");
+    client.write(request("load", "r2"));
+    Socket fresh = worker.accept();
+    fresh.message();
+    at.write(ok("one"));
+    EXPECT_TRUE(at.atEnd());  // unasked: the connection is of no further use
+    fresh.write(ok("two"));
+    EXPECT_EQ(bodyOf(client.message()), "two");
+}
+
+// ---- The end of a process ---------------------------------------------------------------------------
+
+// A request that crosses the end of its idle connection is sent once more: somebody still listens then.
+TEST(CrossingShutdown, IdleConnectionsEndWhileNewOnesAreStillTaken) {
+    Server worker;
+    Gate gate(Targets{target("w", worker)}, settings(), [](json& c) {
+        c["stillListenMs"] = 3600'000;
+        c["idleStaysMs"] = 1;
+    });
+    Socket idle = gate.client();
+    EXPECT_EQ(readiness(idle), 200);
+    gate.terminate();
+    EXPECT_TRUE(idle.atEnd());
+    Socket again = gate.client();
+    again.write(request("spend", "r", 8000, "x"));
+    Socket at = worker.accept();
+    at.message();
+    at.write(ok("served"));
+    const std::string answer = again.message();
+    EXPECT_EQ(statusOf(answer), 200);
+    EXPECT_TRUE(has(answer, "Connection: close"));
+}
+
+// What the last answer settles goes to the counter soon after it: not before the process has ended.
+TEST(CrossingShutdown, WhatTheLastAnswerCostIsStillSettled) {
+    Server worker, counter;
+    json s = settings();
+    s["domain"] = {{"mayCount", true}, {"counterTimeoutS", 20}, {"maxUnits", 4}, {"postPaid", true}};
+    s["contracts"][0] = {{"name", "team"}, {"perSecond", 8}, {"depth", 4}};  // slices of half a second
+    for (json& c : s["classes"]) c["aimS"] = c["deadlineS"] = 400;
+    Gate gate(Targets{target("w", worker)}, s, [&](json& c) {
+        c["counter"] = counter.address();
+        c["stillListenMs"] = c["idleStaysMs"] = 1;
+    });
+    Socket client = gate.client();
+    client.write(request("load", "r", 100'000));
+    Socket at = counter.accept();
+    EXPECT_TRUE(has(at.message(), "?add=1&"));
+    at.write(ok("2"));
+    Socket link = worker.accept();
+    link.message();
+    gate.terminate();
+    EXPECT_THROW(for (;;) gate.client(), std::runtime_error);  // until it listens no more
+    link.write(ok("served", "X-Settled: 3\r\n"));
+    EXPECT_EQ(statusOf(client.message()), 200);
+    client.close();
+    // The slice is another one by now, and by its name so may the connection be.
+    std::optional<std::string> call;
+    while (!call) {
+        pollfd either[2] = {{at.fd(), POLLIN, 0}, {counter.fd(), POLLIN, 0}};
+        ASSERT_GT(::poll(either, 2, kPatienceMs), 0);
+        if (either[1].revents != 0) at = counter.accept();
+        call = at.readMessage();
+        if (!call) at.close();
+    }
+    EXPECT_TRUE(has(*call, "?add=2&")) << *call;
+    at.write(ok("2"));
+    EXPECT_EQ(gate.wait(), 0);
+}
+
 }  // namespace
 }  // namespace weldstall::test
