Start a customer anew when it comes under another plan

Seen by reading and the test: a customer's slices are as long as its plan's burst / rate. One request under another plan with longer slices found the old plan's slice, whose number lies far in that plan's future: roofOf fell far below nought and the customer was refused at this gatekeeper for good, by one odd client's request in its name. At fault: Decisions::customer (c.plan overwritten, slices kept) and roll, which never goes back. Ruled out: unknown plans (400 at the listener). Test: Window.ACustomerThatComesUnderAnotherPlan..., failing before.

--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -491,7 +491,12 @@
     Customer& customer(const RequestArrived& told) {
         const auto [it, added] = customers_.try_emplace(told.customer);
         Customer& c = it->second;
-        if (added) c.use = kUseStart;
+        if (!added && c.plan != told.plan) {  // another plan's slices have another length and other numbers
+            const int out = c.out;
+            c = Customer{};
+            c.out = out;
+        }
+        if (c.usedAt == Time{}) c.use = kUseStart;
         c.plan = told.plan;
         c.entryPoints = std::max(1, told.entryPoints);
         c.usedAt = now_;
@@ -829,7 +834,7 @@
     // Settlement: the true cost less the charge goes to the current slice, as debt or refund.
     void settle(const Request& r, Customer& c, double difference) {
         const Plan& plan = *planOf(r.told);
-        if (plan.rate <= 0 || difference == 0) return;
+        if (plan.rate <= 0 || difference == 0 || c.plan != r.told.plan) return;
         id_ = r.told.customer;
         Slice& current = roll(c, plan);
         current.own += difference;
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -590,6 +590,25 @@
     EXPECT_GT(sharedLetIn(1), 0.2);
 }
 
+// Plans have slices of their own lengths: one's number says nothing under another plan.
+TEST(Window, ACustomerThatComesUnderAnotherPlanIsServedByThatOnesQuota) {
+    Settings s = plainSettings();
+    s.plans.push_back(s.plans[0]);
+    s.plans[1].rate = 0.5;  // slices of 16 s
+    Rig rig(s);
+    const auto ask = [&](int plan) {
+        RequestArrived r;
+        r.request = "p" + std::to_string(++rig.requests);
+        r.customer = 5;
+        r.plan = plan;
+        r.deadline = rig.now + milliseconds(2500);
+        rig.feed(r);
+    };
+    for (const int plan : {0, 1, 0, 1}) ask(plan);
+    EXPECT_EQ(rig.sends.size(), 4u);
+    EXPECT_TRUE(rig.refusals.empty());
+}
+
 TEST(Window, ChargesTakenBackInAClosedSliceGiveTheirRoomBack) {
     Rig rig(plainSettings());
     rig.request();
