Count a first request's time from when its connection came

Seen: a connection silent for up to 2 s that then sent half a request was ended 2.3 s after its first byte, 4.3 s after it came (stuckFor). Ruled out: silent ones (2.3 s) and dribbling ones (counted from the first byte). Test: CrossingClients.HalfARequest..., failing before. Also: a SIGHUP while draining, whose file can't be read and then can; that held before.

--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -123,7 +123,7 @@
 class ClientConnection final : public Channel {
 public:
     ClientConnection(tcp::socket&& socket, ClientListener& listener)
-        : Channel(std::move(socket)), listener_(listener) {
+        : Channel(std::move(socket)), listener_(listener), acceptedAt_(listener.clock_.now()) {
         renew();
     }
 
@@ -132,11 +132,12 @@
 
     bool isIdle() const { return !busy_ && !lingering_ && !partial_ && allWritten(); }
     bool isBusy() const { return busy_; }
-    // How long it is that a request is coming, or that an answer waits to be taken by the client.
+    // How long it is that a request is coming, the first one since the connection came, or that an answer
+    // waits to be taken by the client.
     Duration stuckFor(Time now) const {
         if (busy_ || lingering_) return {};
         if (!allWritten()) return now - answeredAt_;
-        return partial_ ? now - startedAt_ : Duration{};
+        return partial_ ? now - (isFresh() ? acceptedAt_ : startedAt_) : Duration{};
     }
     bool isFresh() const { return answers_ == 0; }
     // It has never sent a byte, or part of a request and no more: such clients wait for nothing.
@@ -314,6 +315,7 @@
     }
 
     ClientListener& listener_;
+    Time acceptedAt_;
     std::optional<http::request_parser<http::string_body>> parser_;
     Time answeredAt_{};
     Time startedAt_{};  // when the request in hand began to come
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -264,6 +264,29 @@
     EXPECT_TRUE(has(answer, "Connection: close"));
 }
 
+// Whatever the file says while it drains, what it has taken is answered, and the old peers stay.
+TEST(CrossingShutdown, ASighupWhileItDrainsWithAFileThatCantBeReadChangesNothing) {
+    Server worker, next;
+    Gate gate(Targets{target("w", worker)});
+    Socket watch = gate.discovery.accept();
+    watch.message();
+    Socket client = gate.client(), probe = gate.client();
+    client.write(request("spend", "r", 8000, "x"));
+    Socket at = worker.accept();
+    at.message();
+    gate.terminate();
+    while (readiness(probe) == 200)
+        ;
+    gate.reload("{\"discovery\": 7");
+    gate.reload(next);  // and one that can: it is gone over to, as before the drain
+    EXPECT_TRUE(has(next.accept().message(), "GET /api/targets HTTP/1.1"));
+    EXPECT_TRUE(watch.atEnd());
+    at.write(ok("served"));
+    EXPECT_EQ(statusOf(client.message()), 200);
+    client.close();
+    EXPECT_EQ(gate.wait(), 0);
+}
+
 // What the last answer settles goes to the counter soon after it: not before the process has ended.
 TEST(CrossingShutdown, WhatTheLastAnswerCostIsStillSettled) {
     Server worker, counter;
@@ -301,5 +324,22 @@
     EXPECT_EQ(gate.wait(), 0);
 }
 
+// ---- Clients that send what can't be read -------------------------------------------------------------
+
+// Half a first request does not buy the time that its sender was silent before: both are ended together.
+TEST(CrossingClients, HalfARequestIsEndedByWhenItsConnectionCame) {
+    Server worker;
+    Gate gate(Targets{target("w", worker)}, settings(), [](json& c) { c["mostPartialMs"] = 1500; });
+    Socket late = gate.client(), early = gate.client(), probe = gate.client();
+    EXPECT_EQ(readiness(probe), 200);
+    early.write("GET /load HTTP/1.1\r\nHost:");
+    ::poll(nullptr, 0, 1000);
+    late.write("GET /load HTTP/1.1\r\nHost:");
+    EXPECT_EQ(statusOf(early.message()), 408);
+    EXPECT_EQ(readiness(probe), 200);  // what was done with the early one is over by now
+    EXPECT_TRUE(late.waitReadable(0));
+    EXPECT_EQ(statusOf(late.message()), 408);
+}
+
 }  // namespace
 }  // namespace weldstall::test
