Keep the timers going when one of them throws

Seen by reading and the test: an exception from a timer left TimerQueue::fire with armedFor_ at the earliest moment, so nothing was ever armed again: the process lived on and answered no deadline. serve() goes on after exceptions. Test: CrossingTimers.OneThatThrows..., failing before.

--- a/src/net/timers.cpp
+++ b/src/net/timers.cpp
@@ -1,5 +1,8 @@
 #include "net/timers.h"
 
+#include <exception>
+#include <iostream>
+
 namespace weldstall {
 namespace {
 
@@ -46,7 +49,11 @@
         if (found == runs_.end()) continue;
         const std::function<void()> run = std::move(found->second);
         runs_.erase(found);
-        run();
+        try {
+            run();
+        } catch (const std::exception& e) {  // ends what threw; all other timers still have to be armed
+            std::cerr << "weldstall: timer: " << e.what() << '\n';
+        }
     }
     dropCancelled();
     armedFor_ = Moment::max();
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -5,6 +5,7 @@
 #include <list>
 
 #include "gate.h"
+#include "net/timers.h"
 
 namespace weldstall::test {
 namespace {
@@ -341,5 +342,23 @@
     EXPECT_EQ(statusOf(late.message()), 408);
 }
 
+// ---- Timers ----------------------------------------------------------------------------------------
+
+TEST(CrossingTimers, OneThatThrowsDoesNotStopTheOthers) {
+    boost::asio::io_context io;
+    TimerQueue timers(io);
+    bool fired = false;
+    timers.after(Duration::zero(), [] { throw std::runtime_error("of one connection"); });
+    timers.after(std::chrono::milliseconds(10), [&] { fired = true; });
+    for (bool over = false; !over;) {  // as the service's loop
+        try {
+            io.run();
+            over = true;
+        } catch (const std::exception&) {
+        }
+    }
+    EXPECT_TRUE(fired);
+}
+
 }  // namespace
 }  // namespace weldstall::test
