Call discovery again within 4.5 s of its return, and keep unanswered calls

Seen: twelve gatekeepers that have to ask, before a discovery that failed for 8 s, called again up to 7.8 s after its return where they had been refused and up to 10 s where they had been left unanswered; what it has to tell counts 6 s after it could be reached. A whole list whose first byte takes longer than 2.3 s was never taken. Ruled out: the time of the call itself and the dialling after the return.

At fault: discoveryWaits in src/net/host.cpp let the drawn waits grow to mustAskInS; the dial limit (1 s) and the silence (2.3 s) came on top, as a wait began where a call was given up; and WatchConnection::listen closed a call that was not answered yet just to begin it again.

Now each gatekeeper that has to ask calls at its own moments on the clock that all share, every 4.5 s (6 s less 1.5 s for a call), counted from a call's beginning: whatever becomes of one, the next follows within 4.5 s of any moment of return. The moments are 2.5 s apart after a watch fell silent, as 2.3 s of its term have passed, and 1.5 s after SIGHUP, where the term is 4 s; while such a term lasts, one that is turned away comes again as soon. An unanswered call stays open while one newer is made beside it; the one answered first is the watch. One that stops amid a list is kept in the same way; one that stops between two objects ends at once, as before. An agent on the own machine is called as before, after 50 to 200 ms.

Two tests held what was at fault, and are replaced. NetDiscovery.WhereItMustBeAskedOneThatTurnsAwayIsLetOff wanted the second call, of a seed, minutes away; it wants the same 2 s of quiet, after a call at an own moment. CrossingList.WhereItMustBeAskedOneThatFallsSilentIsAskedAgainSoon wanted an unanswered call closed; it wants it open beside a newer one, the same 2 s of quiet then, and its end once the newer one is answered.

--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -6,6 +6,7 @@
 #include <iostream>
 #include <optional>
 #include <sstream>
+#include <utility>
 
 #include "net/json_stream.h"
 
@@ -15,8 +16,10 @@
 
 namespace {
 
-constexpr Duration kDialLimit = std::chrono::seconds(1);
-constexpr Duration kMostSilent = std::chrono::milliseconds(2300);
+// Ended before only by a newer call: one that comes up late is a call that is not answered yet. The bound is for
+// the handlers, past the life of any call.
+constexpr Duration kDialLimit = std::chrono::seconds(10);
+constexpr std::size_t kMostWaiting = 2;
 constexpr std::size_t kMostBody = 4 * 1024 * 1024;
 
 }  // namespace
@@ -28,20 +31,25 @@
 
 private:
     void opened() override {
-        heardAt_ = std::chrono::steady_clock::now();
         ask();
-        listen();
+        watch_.opened(*this);
     }
 
-    // A live watch says something every 2 s. One that says nothing may have been cut off with its changes:
-    // another is opened. While discovery is down that one is silent too, and what was told last stays in
-    // force. What a silent one misses counts as told 6 s after its last word, so its time runs from there.
+    // From the first byte of a list on. A live watch says something every 2 s. One that says nothing may have
+    // been cut off with its changes: another is opened. What a silent one misses counts from its last word, so
+    // its time runs from there.
     void listen() {
+        listening_ = false;
+        if (!answered_) return;
         const auto silent = std::chrono::steady_clock::now() - heardAt_;
         if (silent >= kMostSilent) {
-            close();
-            return watch_.fellSilent(*this, answered_);
+            answered_ = false;
+            // Between two objects nothing is lost with the connection; amid one, the rest may yet come.
+            const bool amidList = wholeFirst_ || objects_.held() > 0;
+            if (!amidList) close();
+            return watch_.fellSilent(*this, amidList);
         }
+        listening_ = true;
         watch_.timers_.after(std::chrono::duration_cast<Duration>(kMostSilent - silent),
                              [weak = weak_from_this()] {
                                  const auto self = std::static_pointer_cast<WatchConnection>(weak.lock());
@@ -49,6 +57,13 @@
                              });
     }
 
+    // A status line or a head alone brings nothing: a list behind it may take as long as it would without.
+    void heardBody() {
+        if (std::exchange(answered_, true)) return;
+        watch_.answers(*this);
+        if (!listening_) listen();
+    }
+
     // The whole list by a request of its own, then the watch from its version, on the same connection: the
     // changes come in order behind it.
     void ask() {
@@ -64,13 +79,13 @@
 
     void received() override {
         heardAt_ = std::chrono::steady_clock::now();
-        answered_ = true;
         while (input().size() > 0) {
             error_code ec;
             const std::size_t used = parser_->put(input().data(), ec);
             input().consume(used);
             if (parser_->is_header_done()) {
                 if (parser_->get().result_int() != 200) return over();
+                if (!parser_->get().body().empty()) heardBody();
                 if (!wholeFirst_) takeObjects();
                 if (parser_->get().body().size() + objects_.held() > kMostBody) return over();
                 if (!isOpen()) return;
@@ -81,6 +96,8 @@
                 wholeFirst_ = false;
                 if (!parser_->keep_alive()) return over();
                 ask();
+                answered_ = false;
+                watch_.asksAgain(*this);
                 continue;
             }
             if (ec || parser_->is_done()) return over();
@@ -96,49 +113,110 @@
 
     void over() {
         close();
-        watch_.broke(*this);
+        watch_.over(*this);
     }
-    void ended() override { watch_.broke(*this); }
+    void ended() override { watch_.over(*this); }
 
     DiscoveryWatch& watch_;
     bool wholeFirst_;
-    bool answered_ = false;
+    bool answered_ = false;   // and goes on being answered
+    bool listening_ = false;  // a timer looks at how long it has been silent
     std::chrono::steady_clock::time_point heardAt_{};
     JsonStream objects_;
     std::optional<http::response_parser<http::string_body>> parser_;
 };
 
-DiscoveryWatch::DiscoveryWatch(boost::asio::io_context& io, TimerQueue& timers, const tcp::endpoint& address,
-                               TargetNames names, std::uint64_t since, const Waits& waits, Told told)
+DiscoveryWatch::DiscoveryWatch(boost::asio::io_context& io, TimerQueue& timers, const Clock& clock,
+                               const tcp::endpoint& address, TargetNames names, std::uint64_t since,
+                               const CallSchedule& schedule, Told told)
     : io_(io),
       timers_(timers),
+      clock_(clock),
       address_(address),
       names_(std::move(names)),
       since_(since),
-      told_(std::move(told)),
-      backoff_(waits.broken),
-      mostSpread_(waits.silent) {}
+      schedule_(schedule),
+      told_(std::move(told)) {}
 DiscoveryWatch::~DiscoveryWatch() = default;
 
-void DiscoveryWatch::start() {
+// The next call is set at once: whatever becomes of this one, only an answer takes it back.
+void DiscoveryWatch::call() {
     if (stopped_) return;
-    link_ = std::make_shared<WatchConnection>(io_, *this);
-    link_->dial(address_, timers_, kDialLimit);
+    if (waiting_.size() >= kMostWaiting) {
+        waiting_.front()->close();
+        waiting_.erase(waiting_.begin());
+    }
+    const Link link = std::make_shared<WatchConnection>(io_, *this);
+    waiting_.push_back(link);
+    callIn(schedule_.afterBegin(clock_.now()));
+    link->dial(address_, timers_, kDialLimit);
+}
+
+void DiscoveryWatch::callIn(Duration wait) {
+    timers_.cancel(next_);
+    next_ = timers_.after(wait, [this] { call(); });
+}
+
+void DiscoveryWatch::closeAll() {
+    if (const Link watch = std::exchange(watch_, nullptr)) watch->close();
+    for (const Link& link : std::exchange(waiting_, {})) link->close();
 }
 
 void DiscoveryWatch::stop() {
     stopped_ = true;
-    if (link_) link_->close();
+    timers_.cancel(next_);
+    closeAll();
 }
 
 void DiscoveryWatch::move(const tcp::endpoint& address) {
     if (stopped_ || address == address_) return;
     address_ = address;
     needsWhole_ = true;
-    backoff_.reset();
-    timers_.cancel(redial_);
-    if (link_) link_->close();
-    start();
+    closeAll();
+    const Duration wait = schedule_.afterReload(clock_.now());
+    if (wait > Duration::zero()) return callIn(wait);
+    call();
+}
+
+bool DiscoveryWatch::isNewest(const WatchConnection& link) const {
+    return !waiting_.empty() && waiting_.back().get() == &link;
+}
+
+void DiscoveryWatch::opened(const WatchConnection& link) {
+    if (isNewest(link)) callIn(schedule_.afterRequest(clock_.now()));
+}
+
+void DiscoveryWatch::answers(const WatchConnection& link) {
+    timers_.cancel(next_);
+    for (const Link& waiting : std::exchange(waiting_, {})) {
+        if (waiting.get() == &link)
+            watch_ = waiting;
+        else
+            waiting->close();
+    }
+}
+
+// It has brought its whole list and is asked for what comes behind that.
+void DiscoveryWatch::asksAgain(const WatchConnection& link) {
+    if (watch_.get() != &link) return;
+    waiting_.push_back(std::exchange(watch_, nullptr));
+    callIn(schedule_.afterRequest(clock_.now()));
+}
+
+void DiscoveryWatch::fellSilent(const WatchConnection& link, bool amidList) {
+    if (watch_.get() != &link) return;
+    const Link silent = std::exchange(watch_, nullptr);
+    if (amidList) waiting_.push_back(silent);
+    callIn(schedule_.afterSilence(clock_.now()));
+}
+
+void DiscoveryWatch::over(const WatchConnection& link) {
+    const bool wasWatch = watch_.get() == &link, wasNewest = isNewest(link);
+    if (wasWatch) watch_ = nullptr;
+    std::erase_if(waiting_, [&](const Link& waiting) { return waiting.get() == &link; });
+    // Behind an older one the next call is set already.
+    if (!stopped_ && (wasWatch || wasNewest))
+        callIn(link.ownShortage() ? schedule_.afterShortage() : schedule_.afterEnd(clock_.now()));
 }
 
 void DiscoveryWatch::whole(std::string_view text) {
@@ -156,22 +234,9 @@
         throw;  // ends the connection; the next watch asks again from the last good version
     }
     since_ = list.index;
-    backoff_.reset();
+    schedule_.answered();
     list.full = list.full || whole;
     told_(list);
 }
 
-void DiscoveryWatch::broke(const WatchConnection& link) {
-    if (stopped_ || &link != link_.get()) return;
-    redial_ = timers_.after(backoff_.next(), [this] { start(); });
-}
-
-// The peer took no more than its words back, so there is nothing to let off. One that never answered is as
-// good as broken where others wait in its queue.
-void DiscoveryWatch::fellSilent(const WatchConnection& link, bool hadAnswered) {
-    if (stopped_ || &link != link_.get()) return;
-    if (!hadAnswered && mostSpread_ > Duration::zero()) return broke(link);
-    redial_ = timers_.after(backoff_.within(mostSpread_), [this] { start(); });
-}
-
 }  // namespace weldstall
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -10,10 +10,6 @@
 
 // Shares of the descriptors: the rest is for the counter, discovery, the listener and the loop itself.
 constexpr std::size_t kClientShare = 50, kWorkerShare = 40;
-constexpr Duration kPushBackoffFirst = std::chrono::milliseconds(50);
-constexpr Duration kPushBackoffMost = std::chrono::milliseconds(200);  // what it then tells counts at once
-// Where all gatekeepers' watches fall silent together: small beside the 6 s after which the list counts.
-constexpr Duration kSilentSpread = std::chrono::seconds(1);
 // For settlements and charges taken back to go out once nobody waits for an answer, and how often that is
 // looked at.
 constexpr Duration kMostSettling = std::chrono::seconds(1), kSettleLook = std::chrono::milliseconds(20);
@@ -28,13 +24,9 @@
     return limits;
 }
 
-// Discovery that must be asked is one service with a queue for all gatekeepers: those it turned away together
-// spread their next tries over the time within which it wants to be asked. One that pushes is a local agent.
-DiscoveryWatch::Waits discoveryWaits(const Config& c) {
-    if (c.settings.discovery == Discovery::push)
-        return {{kPushBackoffFirst, kPushBackoffMost, c.seed}, Duration::zero()};
-    const Duration most = std::max(c.settings.mustAsk, kSilentSpread);
-    return {{most / 2, most, c.seed}, kSilentSpread};
+CallSchedule discoverySchedule(const Config& c) {
+    if (c.settings.discovery == Discovery::push) return CallSchedule::pushed(c.seed);
+    return CallSchedule::asked(c.settings.self, c.settings.gatekeepers, c.settings.mustAsk, c.seed);
 }
 
 ClientListener::Rules listenerRules(const Config& c) {
@@ -65,7 +57,8 @@
                      return arrived(std::move(r), c);
                  },
                  [this](const std::string& id) { gone(id); }}),
-      discovery_(io, timers_, config.discovery, config.names, config.known.index, discoveryWaits(config),
+      discovery_(io, timers_, clock_, config.discovery, config.names, config.known.index,
+                 discoverySchedule(config),
                  [this](const TargetList& list) {
                      listCurrent_ = true;
                      listed(list, list.full ? ListScope::full : ListScope::changes);
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -96,9 +96,15 @@
     watch.write(kWatchHead + chunk("\n"));
     Socket next = gate.discovery.accept();
     EXPECT_TRUE(has(next.message(), "since=41 "));
-    // That one never answers: it is let off like one that turned away, as others wait in the same queue.
-    EXPECT_TRUE(next.atEnd());
+    EXPECT_TRUE(watch.atEnd());
+    // That one is not answered: it stays open while one more is made beside it, and is not thrown away with
+    // what may yet come. Nor is another made soon: others wait in the same queue.
+    Socket beside = gate.discovery.accept();
+    EXPECT_TRUE(has(beside.message(), "since=41 "));
+    EXPECT_FALSE(next.waitReadable(0));
     EXPECT_FALSE(gate.discovery.waitReadable(2000));
+    beside.write(kWatchHead + chunk("\n"));
+    EXPECT_TRUE(next.atEnd());
 }
 
 int readiness(Socket& client) {
--- a/tests/gate.h
+++ b/tests/gate.h
@@ -75,7 +75,7 @@
         if (pid_ == 0) {
             int code = 1;
             ::setenv("EDGE_CONFIG", file_.c_str(), 1);
-            ::setenv("EDGE_DISCOVERY", discovery.address().c_str(), 1);
+            ::setenv("EDGE_DISCOVERY", config["discovery"].get<std::string>().c_str(), 1);
             try {
                 if (descriptors > 0) {
                     const rlimit limit{descriptors, descriptors};
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -376,14 +376,14 @@
     EXPECT_TRUE(silent.atEnd());
 }
 
-// Discovery that has to be asked is one service for all: those it turns away together must not come back
-// together, nor soon. With an hour to ask in, the next call of this seed is minutes away.
+// Discovery that has to be asked is one service for all: one that is turned away at its own moment comes again
+// at the next of these, 4.5 s later. The first call of a process is made at no such moment.
 TEST(NetDiscovery, WhereItMustBeAskedOneThatTurnsAwayIsLetOff) {
     json s = settings();
     s["discovery"] = "ask";
     s["rules"]["mustAskInS"] = 3600;
     Gate gate(Targets{}, s);
-    {
+    for (int i = 0; i < 2; ++i) {
         Socket watch = gate.discovery.accept();
         watch.message();
         watch.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
--- a/tests/sockets.h
+++ b/tests/sockets.h
@@ -98,16 +98,23 @@
 
 class Server : public Socket {
 public:
+    // kRefusing: connections are refused until listen().
+    static constexpr int kRefusing = -1;
+
     explicit Server(int backlog = 64) : Socket(::socket(AF_INET, SOCK_STREAM, 0)) {
         sockaddr_in a{};
         a.sin_family = AF_INET;
         a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        if (::bind(fd_, reinterpret_cast<sockaddr*>(&a), sizeof a) != 0 || ::listen(fd_, backlog) != 0)
-            throw std::runtime_error("cannot listen");
+        if (::bind(fd_, reinterpret_cast<sockaddr*>(&a), sizeof a) != 0)
+            throw std::runtime_error("cannot bind");
+        if (backlog != kRefusing) listen(backlog);
         socklen_t size = sizeof a;
         ::getsockname(fd_, reinterpret_cast<sockaddr*>(&a), &size);
         port = ntohs(a.sin_port);
     }
+    void listen(int backlog = 64) {
+        if (::listen(fd_, backlog) != 0) throw std::runtime_error("cannot listen");
+    }
     std::string address() const { return "127.0.0.1:" + std::to_string(port); }
     Socket accept() {
         if (!waitReadable()) throw std::runtime_error("nobody connected");
