Let discovery, counter and records servers be dialled when clients hold every descriptor

Seen: where the system lets a process have fewer descriptors than its configuration says (256 of 1,024, 1,024 of 4,096), clients that rest take the last one, and from then on discovery is never called, nor the counter or a records server reached; a new configuration can't be opened after SIGHUP either. New clients are answered all the while, since the listener ends one that rests to accept the next. Ruled out: the shares of the descriptors, which hold where the two limits match.

At fault: Channel::dial in src/net/channel.cpp only reports a want of descriptors, and the accept that follows each freed one in src/net/client_listener.cpp (left(), then accept()) takes it before the next try of the dial.

Now a dial that finds no descriptor has the client that has rested the longest ended, or else the longest idle connection to a records server, and is made in the same step, before the queue is looked at again. The same goes before the configuration is read.

--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -23,9 +23,11 @@
     }
 }
 
-void Channel::dial(const tcp::endpoint& peer, TimerQueue& timers, Duration limit) {
+void Channel::dial(const tcp::endpoint& peer, TimerQueue& timers, Duration limit,
+                   const MakeRoom& makeRoom) {
     error_code ec;
     socket_.open(peer.protocol(), ec);
+    if (ec && makeRoom && makeRoom()) socket_.open(peer.protocol(), ec);
     ownShortage_ = static_cast<bool>(ec);
     if (ec) {  // out of descriptors, say: told from the loop, as all failures are
         timers.after(Duration::zero(), [self = weak_from_this()] {
--- a/src/net/channel.h
+++ b/src/net/channel.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -23,6 +24,9 @@
     return length && *length > most;
 }
 
+// Frees a descriptor for a connection that is dialled where none is left; false: nothing can be spared.
+using MakeRoom = std::function<bool()>;
+
 class Channel : public std::enable_shared_from_this<Channel> {
 public:
     virtual ~Channel() = default;
@@ -30,7 +34,7 @@
     Channel& operator=(const Channel&) = delete;
 
     // Reports opened(), or ended() when it is refused or does not come up within `limit`.
-    void dial(const tcp::endpoint& peer, TimerQueue& timers, Duration limit);
+    void dial(const tcp::endpoint& peer, TimerQueue& timers, Duration limit, const MakeRoom& makeRoom = {});
     // The dialling failed here, for want of a descriptor, and tells nothing of the peer.
     bool ownShortage() const { return ownShortage_; }
     // Bytes have come that were not taken in yet.
--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -381,6 +381,15 @@
     return false;
 }
 
+// What stands in the queue would take the descriptor at once: it is looked at again from the loop.
+bool ClientListener::giveWay() {
+    const bool accepting = std::exchange(accepting_, true);
+    const bool made = makeRoom();
+    accepting_ = accepting;
+    if (!accepting) timers_.after(Duration::zero(), [this] { accept(); });
+    return made;
+}
+
 void ClientListener::left(ClientConnection& client) {
     clients_.erase(client.place);
     if (listening_) accept();
--- a/src/net/client_listener.h
+++ b/src/net/client_listener.h
@@ -55,6 +55,8 @@
     void listen(const tcp::endpoint& address);
     tcp::endpoint address() const { return acceptor_.local_endpoint(); }
     void answer(ClientConnection& client, const Answer& answer);
+    // Ends the client that has been idle the longest, for a connection of another kind; false where none is.
+    bool giveWay();
     // Goes on listening for a while, answers what is taken, and reports when nobody is left.
     void drain(std::function<void()> done);
 
--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -236,7 +236,7 @@
 void CounterClient::dial(Lane& lane) {
     const auto index = static_cast<std::size_t>(&lane - lanes_.data());
     lane.link = std::make_shared<CounterConnection>(io_, *this, index);
-    lane.link->dial(address_, timers_, limits_.dial);
+    lane.link->dial(address_, timers_, limits_.dial, limits_.makeRoom);
 }
 
 void CounterClient::move(const tcp::endpoint& address) {
--- a/src/net/counter_client.h
+++ b/src/net/counter_client.h
@@ -19,6 +19,7 @@
     struct Limits {
         std::size_t connections = 8;  // the counter takes 32 of a gatekeeper
         Duration answer{}, dial{};
+        MakeRoom makeRoom{};
     };
     using Answered = std::function<void(slipshift::CountAnswered&&)>;
 
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -128,7 +128,7 @@
 
 DiscoveryWatch::DiscoveryWatch(boost::asio::io_context& io, TimerQueue& timers, const Clock& clock,
                                const tcp::endpoint& address, TargetNames names, std::uint64_t since,
-                               const CallSchedule& schedule, Told told)
+                               const CallSchedule& schedule, MakeRoom makeRoom, Told told)
     : io_(io),
       timers_(timers),
       clock_(clock),
@@ -136,6 +136,7 @@
       names_(std::move(names)),
       since_(since),
       schedule_(schedule),
+      makeRoom_(std::move(makeRoom)),
       told_(std::move(told)) {}
 DiscoveryWatch::~DiscoveryWatch() = default;
 
@@ -149,7 +150,7 @@
     const Link link = std::make_shared<WatchConnection>(io_, *this);
     waiting_.push_back(link);
     callIn(schedule_.afterBegin(clock_.now()));
-    link->dial(address_, timers_, kDialLimit);
+    link->dial(address_, timers_, kDialLimit, makeRoom_);
 }
 
 void DiscoveryWatch::callIn(Duration wait) {
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -24,7 +24,7 @@
     // `since`: the version of the list known before; the first answer brings what changed after it.
     DiscoveryWatch(boost::asio::io_context& io, TimerQueue& timers, const Clock& clock,
                    const tcp::endpoint& address, TargetNames names, std::uint64_t since,
-                   const CallSchedule& schedule, Told told);
+                   const CallSchedule& schedule, MakeRoom makeRoom, Told told);
     ~DiscoveryWatch();
     void start() { call(); }
     void stop();
@@ -56,6 +56,7 @@
     TargetNames names_;
     std::uint64_t since_;
     CallSchedule schedule_;
+    MakeRoom makeRoom_;
     Told told_;
     Link watch_;                 // being answered
     std::vector<Link> waiting_;  // not answered yet, or no more: two at most, the newest at the back
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -14,13 +14,14 @@
 // looked at.
 constexpr Duration kMostSettling = std::chrono::seconds(1), kSettleLook = std::chrono::milliseconds(20);
 
-WorkerPool::Limits poolLimits(const Config& c) {
+WorkerPool::Limits poolLimits(const Config& c, MakeRoom makeRoom) {
     WorkerPool::Limits limits;
     limits.connections = c.sockets * kWorkerShare / 100;
     limits.dial = c.settings.dialTimeout;
     limits.keepAlive = c.keepAlive;
     limits.rest = c.rest;
     limits.drainGrace = c.settings.drainGrace;
+    limits.makeRoom = std::move(makeRoom);
     return limits;
 }
 
@@ -46,10 +47,11 @@
 }  // namespace
 
 Host::Host(boost::asio::io_context& io, const Config& config)
-    : config_(config),
+    : io_(io),
+      config_(config),
       timers_(io),
       gatekeeper_(config.settings, config.seed),
-      workers_(io, timers_, poolLimits(config),
+      workers_(io, timers_, poolLimits(config, [this] { return makeRoom(); }),
                [this](WorkerPool::Number n, AttemptResult&& r) { attemptEnded(n, std::move(r)); }),
       listener_(io, timers_, clock_, listenerRules(config),
                 {[this] { return listKnown_ && listCurrent_; },
@@ -58,7 +60,7 @@
                  },
                  [this](const std::string& id) { gone(id); }}),
       discovery_(io, timers_, clock_, config.discovery, config.names, config.known.index,
-                 discoverySchedule(config),
+                 discoverySchedule(config), [this] { return makeRoom(); },
                  [this](const TargetList& list) {
                      listCurrent_ = true;
                      listed(list, list.full ? ListScope::full : ListScope::changes);
@@ -67,6 +69,7 @@
         CounterClient::Limits limits;
         limits.answer = config.settings.countTimeout;
         limits.dial = config.settings.dialTimeout;
+        limits.makeRoom = [this] { return makeRoom(); };
         counter_.emplace(io, timers_, *config.counter, limits,
                          [this](CountAnswered&& answer) { tell(std::move(answer)); });
     }
@@ -83,6 +86,18 @@
     listener_.listen(config_.listen);
 }
 
+// Clients that rest may hold every descriptor; what the process lives by comes before them.
+bool Host::makeRoom() {
+    return listener_.giveWay() || workers_.makeRoom();
+}
+
+void Host::spareDescriptor() {
+    tcp::socket probe(io_);
+    error_code ec;
+    probe.open(tcp::v4(), ec);
+    if (ec) makeRoom();
+}
+
 void Host::reload(const Config& config) {
     discovery_.move(config.discovery);
     if (counter_ && config.counter) counter_->move(*config.counter);
--- a/src/net/host.h
+++ b/src/net/host.h
@@ -24,6 +24,8 @@
     ~Host();
 
     void start();
+    // Sees to it that a file can be opened now, if need be at the cost of a connection that rests.
+    void spareDescriptor();
     // Goes over to the discovery and the counter that `config` names; all else stays.
     void reload(const Config& config);
     // Answers what is taken, lets what is owed to the counter go out, then reports; nothing new is begun
@@ -67,7 +69,9 @@
     void perform(const slipshift::LogLine& a);
     void finish(const std::string& id, const Answer& answer);
     void forgetIfDone(const std::string& id);
+    bool makeRoom();
 
+    boost::asio::io_context& io_;
     const Config& config_;
     Clock clock_;
     TimerQueue timers_;
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -24,6 +24,7 @@
         hangups.async_wait([&](const boost::system::error_code& ec, int) {
             if (ec) return;
             try {
+                host.spareDescriptor();
                 host.reload(configFromEnvironment(Reading::again));
             } catch (const std::exception& e) {
                 std::cerr << "weldstall: SIGHUP: " << e.what() << '\n';
--- a/src/net/worker_pool.cpp
+++ b/src/net/worker_pool.cpp
@@ -239,7 +239,8 @@
     }
     a.link = std::make_shared<WorkerConnection>(io_, *this);
     a.link->carry(number);
-    a.link->dial(w.address, timers_, limits_.dial > Duration::zero() ? limits_.dial : timeout);
+    a.link->dial(w.address, timers_, limits_.dial > Duration::zero() ? limits_.dial : timeout,
+                 limits_.makeRoom);
 }
 
 WorkerPool::Link WorkerPool::checkOut(Worker& w) {
--- a/src/net/worker_pool.h
+++ b/src/net/worker_pool.h
@@ -36,6 +36,7 @@
         std::size_t connections = 256;  // over all workers
         slipshift::Duration dial{}, keepAlive{}, drainGrace{};
         slipshift::Duration rest{};  // of a connection after an answer
+        MakeRoom makeRoom{};         // where the process has no descriptor left
     };
     using Number = std::uint64_t;
     using Done = std::function<void(Number, AttemptResult&&)>;
@@ -50,6 +51,8 @@
     void cancel(Number attempt);
     // Gives up one that has not gone out whole, as while its connection comes up: it never begins.
     void cancelUnsent(Number attempt);
+    // Ends the connection that has been idle the longest; false where none is.
+    bool makeRoom();
     std::size_t connections() const { return *connections_; }
 
 private:
@@ -77,7 +80,6 @@
     void leave(Worker& w);
     Link checkOut(Worker& w);
     void dropIdle(Worker& w);
-    bool makeRoom();
     void write(Attempt& a);
     void expire(Number attempt);
     void finish(Number attempt, AttemptResult&& result);
