Be ready 5 s after the start on an empty list where discovery says nothing

Seen: a process whose `known` names no records server, before a discovery that is refused, silent or turns it away, is never ready; 30 s without being ready fails a gatekeeper, and nine in ten restarted ones have 10 s. Ruled out: with records servers in `known`, no end of a call holds readiness, nor do a dozen processes that start at once before one silent discovery (tests below, which passed before as well).

At fault: listKnown_ in src/net/host.cpp became true only with a list that names somebody or comes whole.

Now the list that was given is in force after 5 s also where it is empty: a second later what discovery has counts as told anyhow. Until then a first list is waited for, as a process without one turns all away.

--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -79,6 +79,7 @@
 
 void Host::start() {
     listed(config_.known, ListScope::saved);
+    if (!listKnown_) timers_.after(config_.emptyWait, [this] { listKnown_ = true; });
     // Where it has to be asked, only what it was asked for counts.
     listCurrent_ = config_.settings.discovery != Discovery::push || config_.listWait <= Duration::zero();
     if (!listCurrent_) timers_.after(config_.listWait, [this] { listCurrent_ = true; });
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -580,6 +580,83 @@
     EXPECT_EQ(site.gate.wait(), 0);
 }
 
+// ---- Readiness --------------------------------------------------------------------------------------
+
+int readiness(Socket& client) {
+    client.write("GET /-/ready HTTP/1.1\r\n\r\n");
+    return statusOf(client.message());
+}
+
+// Until it is: on the list that it was given, whatever becomes of its calls.
+void expectReady(const Gate& gate) {
+    Socket client = gate.client();
+    for (int i = 0; i < kPatienceMs / 10; ++i) {
+        if (readiness(client) == 200) return;
+        ::poll(nullptr, 0, 10);
+    }
+    ADD_FAILURE() << "not ready";
+}
+
+TEST_P(DiscoveryCalls, ANewProcessIsReadyWhateverBecomesOfItsCalls) {
+    for (const std::string& end : kCallEnds) {
+        Failing failing(end);
+        Server worker;
+        Gate gate(Targets{target("w", worker)}, settingsOf(GetParam()), [&](json& c) {
+            c["discovery"] = failing.server.address();
+            c["listWaitMs"] = 500;
+        });
+        if (end != "refused" && end != "notUp") failing.fail("since=41 ");
+        expectReady(gate);
+    }
+}
+
+// A quarter of a fleet that is restarted at once, before one discovery that says nothing or turns all away.
+TEST_P(DiscoveryCalls, ManyThatStartAtOnceAreAllReady) {
+    for (const bool turnsAway : {false, true}) {
+        Server worker, discovery;
+        std::list<Gate> gates;
+        for (int i = 0; i < 12; ++i) {
+            json s = settingsOf(GetParam());
+            s["balancers"] = 12;
+            s["me"] = i;
+            gates.emplace_back(Targets{target("w", worker)}, s, [&](json& c) {
+                c["discovery"] = discovery.address();
+                c["listWaitMs"] = 500;
+            });
+        }
+        std::vector<Socket> calls;
+        for (std::size_t i = 0; i < gates.size(); ++i) {
+            calls.push_back(discovery.accept());
+            if (turnsAway) calls.back().write(kTurnedAway);
+        }
+        for (const Gate& gate : gates) expectReady(gate);
+    }
+}
+
+// One that knows of no records server waits for a list, but not for ever.
+TEST_P(DiscoveryCalls, AnEmptyListIsWaitedForAndNotForEver) {
+    for (const bool patient : {true, false}) {
+        Gate gate(Targets{}, settingsOf(GetParam()),
+                  [&](json& c) { c["emptyWaitMs"] = patient ? 3600'000 : 1; });
+        Socket call = gate.discovery.accept();
+        call.message();
+        if (patient) {
+            Socket client = gate.client();
+            EXPECT_EQ(readiness(client), 503);
+            Server worker;
+            call.write(kHead + listLine(42, false, {target("w", worker)}));
+        }
+        expectReady(gate);
+    }
+    EXPECT_LT(readConfig(json{{"listen", "127.0.0.1:0"},
+                              {"discovery", "127.0.0.1:1"},
+                              {"seed", "1"},
+                              {"settings", settings()}}
+                             .dump())
+                  .emptyWait,
+              seconds(6));  // what discovery has counts then
+}
+
 // A watch that had brought something whole and says no more is ended at once: what it may still bring is older
 // than what the next one does.
 TEST_P(DiscoveryCalls, AWatchThatFallsSilentEndsBeforeTheNextCall) {
--- a/tests/gate.h
+++ b/tests/gate.h
@@ -86,6 +86,8 @@
                 read.stillListen = std::chrono::milliseconds(config.value("stillListenMs", 3000));
                 read.idleStays = std::chrono::milliseconds(config.value("idleStaysMs", 3000));
                 read.listWait = std::chrono::milliseconds(config.value("listWaitMs", 0));
+                if (config.contains("emptyWaitMs"))
+                    read.emptyWait = std::chrono::milliseconds(config["emptyWaitMs"].get<int>());
                 read.rest = std::chrono::milliseconds(config.value("restMs", 0));
                 if (config.contains("mostPartialMs"))
                     read.mostPartial = std::chrono::milliseconds(config["mostPartialMs"].get<int>());
