--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -10,31 +10,24 @@
 
 // Shares of the descriptors: the rest is for the counter, discovery, the listener and the loop itself.
 constexpr std::size_t kClientShare = 50, kWorkerShare = 40;
-constexpr Duration kPushBackoffFirst = std::chrono::milliseconds(50);
-constexpr Duration kPushBackoffMost = std::chrono::milliseconds(200);  // what it then tells counts at once
-// Where all gatekeepers' watches fall silent together: small beside the 6 s after which the list counts.
-constexpr Duration kSilentSpread = std::chrono::seconds(1);
 // For settlements and charges taken back to go out once nobody waits for an answer, and how often that is
 // looked at.
 constexpr Duration kMostSettling = std::chrono::seconds(1), kSettleLook = std::chrono::milliseconds(20);
 
-WorkerPool::Limits poolLimits(const Config& c) {
+WorkerPool::Limits poolLimits(const Config& c, MakeRoom makeRoom) {
     WorkerPool::Limits limits;
     limits.connections = c.sockets * kWorkerShare / 100;
     limits.dial = c.settings.dialTimeout;
     limits.keepAlive = c.keepAlive;
     limits.rest = c.rest;
     limits.drainGrace = c.settings.drainGrace;
+    limits.makeRoom = std::move(makeRoom);
     return limits;
 }
 
-// Discovery that must be asked is one service with a queue for all gatekeepers: those it turned away together
-// spread their next tries over the time within which it wants to be asked. One that pushes is a local agent.
-DiscoveryWatch::Waits discoveryWaits(const Config& c) {
-    if (c.settings.discovery == Discovery::push)
-        return {{kPushBackoffFirst, kPushBackoffMost, c.seed}, Duration::zero()};
-    const Duration most = std::max(c.settings.mustAsk, kSilentSpread);
-    return {{most / 2, most, c.seed}, kSilentSpread};
+CallSchedule discoverySchedule(const Config& c) {
+    if (c.settings.discovery == Discovery::push) return CallSchedule::pushed(c.seed);
+    return CallSchedule::asked(c.settings.self, c.settings.gatekeepers, c.settings.mustAsk, c.seed);
 }
 
 ClientListener::Rules listenerRules(const Config& c) {
@@ -54,10 +47,11 @@
 }  // namespace
 
 Host::Host(boost::asio::io_context& io, const Config& config)
-    : config_(config),
+    : io_(io),
+      config_(config),
       timers_(io),
       gatekeeper_(config.settings, config.seed),
-      workers_(io, timers_, poolLimits(config),
+      workers_(io, timers_, poolLimits(config, [this] { return makeRoom(); }),
                [this](WorkerPool::Number n, AttemptResult&& r) { attemptEnded(n, std::move(r)); }),
       listener_(io, timers_, clock_, listenerRules(config),
                 {[this] { return listKnown_ && listCurrent_; },
@@ -65,7 +59,8 @@
                      return arrived(std::move(r), c);
                  },
                  [this](const std::string& id) { gone(id); }}),
-      discovery_(io, timers_, config.discovery, config.names, config.known.index, discoveryWaits(config),
+      discovery_(io, timers_, clock_, config.discovery, config.names, config.known.index,
+                 discoverySchedule(config), [this] { return makeRoom(); },
                  [this](const TargetList& list) {
                      listCurrent_ = true;
                      listed(list, list.full ? ListScope::full : ListScope::changes);
@@ -74,6 +69,7 @@
         CounterClient::Limits limits;
         limits.answer = config.settings.countTimeout;
         limits.dial = config.settings.dialTimeout;
+        limits.makeRoom = [this] { return makeRoom(); };
         counter_.emplace(io, timers_, *config.counter, limits,
                          [this](CountAnswered&& answer) { tell(std::move(answer)); });
     }
@@ -83,6 +79,7 @@
 
 void Host::start() {
     listed(config_.known, ListScope::saved);
+    if (!listKnown_) timers_.after(config_.emptyWait, [this] { listKnown_ = true; });
     // Where it has to be asked, only what it was asked for counts.
     listCurrent_ = config_.settings.discovery != Discovery::push || config_.listWait <= Duration::zero();
     if (!listCurrent_) timers_.after(config_.listWait, [this] { listCurrent_ = true; });
@@ -90,6 +87,18 @@
     listener_.listen(config_.listen);
 }
 
+// Clients that rest may hold every descriptor; what the process lives by comes before them.
+bool Host::makeRoom() {
+    return listener_.giveWay() || workers_.makeRoom();
+}
+
+void Host::spareDescriptor() {
+    tcp::socket probe(io_);
+    error_code ec;
+    probe.open(tcp::v4(), ec);
+    if (ec) makeRoom();
+}
+
 void Host::reload(const Config& config) {
     discovery_.move(config.discovery);
     if (counter_ && config.counter) counter_->move(*config.counter);
