Begin no attempt for a client whose end has come, read or not

Seen: a gatekeeper that was busy, or stopped, finds a client's request and the end of its connection together. It reads the request first, and Host::perform(SendAttempt) wrote it to a records server although the client had left long ago. The same where the counter's answer, the failure of a first attempt (turned away, 500, noise, closed, reset, refused) or a connection that comes up is found ahead of the client's end: WorkerPool::start and WorkerPool::connected asked nobody whether there was still a client. Ruled out: the timer of the counter's wait, and a request behind an answered one; what the loop finds together with these it handles first, so the end was seen.

Changed: before an attempt is started, and before one is written on a connection that has just come up, the client's connection is asked for its end (Channel::endHasCome): one recv that takes nothing in, as idle connections to records servers have it; where unread bytes stand in front, a poll for POLLRDHUP, which sees past them. A client that has gone has left at that moment: the module is told so, the attempt ends as never sent, its charge goes back.

--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -1,5 +1,7 @@
 #include "net/channel.h"
 
+#include <poll.h>
+
 #include <boost/asio/buffer.hpp>
 #include <exception>
 
@@ -117,6 +119,14 @@
     return !ec && size > 0 ? Peeked::bytes : Peeked::end;
 }
 
+bool Channel::endHasCome() {
+    if (closed_) return true;
+    const Peeked peeked = peek();
+    if (peeked != Peeked::bytes) return peeked == Peeked::end;
+    pollfd asked{socket_.native_handle(), POLLRDHUP, 0};  // tells of an end whatever stands in front of it
+    return ::poll(&asked, 1, 0) > 0 && asked.revents != 0;
+}
+
 void Channel::shutdownSend() {
     error_code ec;
     socket_.shutdown(tcp::socket::shutdown_send, ec);
--- a/src/net/channel.h
+++ b/src/net/channel.h
@@ -37,6 +37,9 @@
     bool hasInput() { return input_.size() > 0 || peek() == Peeked::bytes; }
     // Neither bytes nor the connection's end have come that were not taken in yet.
     bool isQuiet() { return input_.size() == 0 && peek() == Peeked::nothing; }
+    // The peer's end, or a break, has come, read or not, also where it stands behind bytes that were not
+    // taken in yet. One system call, two where there are such bytes.
+    bool endHasCome();
     // Starts an accepted connection.
     void start();
     // Writes at once what the kernel takes, after all that was sent before.
--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -392,6 +392,12 @@
     accept();  // it may have waited for a connection that is not busy
 }
 
+bool ClientListener::hasLeft(ClientConnection& client) {
+    if (!client.endHasCome()) return false;
+    client.leave();
+    return true;
+}
+
 // Ends connections whose request does not come, or does not come whole, however slowly it dribbles in, or
 // whose client takes no answer: they would hold a descriptor for ever.
 void ClientListener::sweep() {
--- a/src/net/client_listener.h
+++ b/src/net/client_listener.h
@@ -55,6 +55,9 @@
     void listen(const tcp::endpoint& address);
     tcp::endpoint address() const { return acceptor_.local_endpoint(); }
     void answer(ClientConnection& client, const Answer& answer);
+    // True where the client has gone, though that may not have been read yet: it is taken to have left, and
+    // Hooks::gone has been called by the time this returns.
+    bool hasLeft(ClientConnection& client);
     // Goes on listening for a while, answers what is taken, and reports when nobody is left.
     void drain(std::function<void()> done);
 
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -58,7 +58,11 @@
       timers_(io),
       gatekeeper_(config.settings, config.seed),
       workers_(io, timers_, poolLimits(config),
-               [this](WorkerPool::Number n, AttemptResult&& r) { attemptEnded(n, std::move(r)); }),
+               {[this](WorkerPool::Number n, AttemptResult&& r) { attemptEnded(n, std::move(r)); },
+                [this](WorkerPool::Number n) {
+                    const auto found = attempts_.find(n);
+                    return found != attempts_.end() && hasClient(std::string(found->second.request));
+                }}),
       listener_(io, timers_, clock_, listenerRules(config),
                 {[this] { return listKnown_ && listCurrent_; },
                  [this](ClientRequest&& r, const std::shared_ptr<ClientConnection>& c) {
@@ -102,7 +106,7 @@
 
 // What the module still means to tell the counter waits on its timers.
 void Host::settle(std::chrono::steady_clock::time_point until, std::function<void()> done) {
-    const bool settled = timersSet_ == 0 && (!counter_ || counter_->isIdle());
+    const bool settled = !running_ && timersSet_ == 0 && (!counter_ || counter_->isIdle());
     if (!settled && std::chrono::steady_clock::now() < until) {
         timers_.after(kSettleLook, [this, until, done = std::move(done)] { settle(until, done); });
         return;
@@ -170,6 +174,15 @@
     tell(std::move(ended));
 }
 
+// Asked where bytes of a request would go out. A client may have left long ago without that having been read:
+// its end is found after its request, or after what else made this gatekeeper busy.
+bool Host::hasClient(const std::string& id) {
+    const auto found = requests_.find(id);
+    if (found == requests_.end()) return false;
+    const auto client = found->second.client;
+    return client && !listener_.hasLeft(*client);
+}
+
 // Actions can cause events at once; those wait here until the actions in hand are done.
 void Host::run() {
     running_ = true;
@@ -197,6 +210,11 @@
     attempts_[number] = {a.request, a.worker, static_cast<int>(r.attempts.size())};
     r.attempts.push_back(number);
     ++r.outstanding;
+    if (!hasClient(a.request)) {
+        AttemptResult never;
+        never.outcome = Outcome::notSent;
+        return attemptEnded(number, std::move(never));
+    }
     workers_.start(number, a.worker, a.timeout, r.forwarded);
 }
 
--- a/src/net/host.h
+++ b/src/net/host.h
@@ -47,6 +47,7 @@
     void gone(const std::string& id);
     void listed(const TargetList& list, slipshift::ListScope scope);
     void attemptEnded(WorkerPool::Number number, AttemptResult&& result);
+    bool hasClient(const std::string& id);
 
     template <class Event>
     void tell(Event&& event) {
--- a/src/net/worker_pool.cpp
+++ b/src/net/worker_pool.cpp
@@ -164,8 +164,8 @@
     std::optional<http::response_parser<http::string_body>> parser_;
 };
 
-WorkerPool::WorkerPool(boost::asio::io_context& io, TimerQueue& timers, const Limits& limits, Done done)
-    : io_(io), timers_(timers), limits_(limits), done_(std::move(done)) {}
+WorkerPool::WorkerPool(boost::asio::io_context& io, TimerQueue& timers, const Limits& limits, Hooks hooks)
+    : io_(io), timers_(timers), limits_(limits), hooks_(std::move(hooks)) {}
 WorkerPool::~WorkerPool() = default;
 
 void WorkerPool::update(const TargetList& list) {
@@ -294,6 +294,7 @@
 }
 
 void WorkerPool::connected(Number number) {
+    if (!hooks_.wanted(number)) return cancel(number);
     const auto found = attempts_.find(number);
     if (found == attempts_.end()) return;
     Attempt& a = found->second;
@@ -380,7 +381,7 @@
         std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - found->second.began);
     timers_.cancel(found->second.timer);
     attempts_.erase(found);
-    done_(number, std::move(result));
+    hooks_.done(number, std::move(result));
 }
 
 // Guards against writing to a connection that its worker is just closing.
--- a/src/net/worker_pool.h
+++ b/src/net/worker_pool.h
@@ -38,13 +38,18 @@
         slipshift::Duration rest{};  // of a connection after an answer
     };
     using Number = std::uint64_t;
-    using Done = std::function<void(Number, AttemptResult&&)>;
+    struct Hooks {
+        std::function<void(Number, AttemptResult&&)> done;
+        // Asked before an attempt is written on a connection that has just come up; false: it never begins.
+        // May cancel the attempt itself.
+        std::function<bool(Number)> wanted;
+    };
 
-    WorkerPool(boost::asio::io_context& io, TimerQueue& timers, const Limits& limits, Done done);
+    WorkerPool(boost::asio::io_context& io, TimerQueue& timers, const Limits& limits, Hooks hooks);
     ~WorkerPool();
 
     void update(const TargetList& list);
-    // Every attempt ends with one call of Done, at the earliest within this call.
+    // Every attempt ends with one call of Hooks::done, at the earliest within this call.
     void start(Number attempt, const std::string& worker, Duration timeout,
                std::shared_ptr<const Forwarded> request);
     void cancel(Number attempt);
@@ -91,7 +96,7 @@
     boost::asio::io_context& io_;
     TimerQueue& timers_;
     Limits limits_;
-    Done done_;
+    Hooks hooks_;
     std::unordered_map<std::string, std::shared_ptr<Worker>> workers_;
     std::unordered_map<Number, Attempt> attempts_;
     std::shared_ptr<std::size_t> connections_ = std::make_shared<std::size_t>(0);
