Read what follows requests sent ahead as it came, not the old bytes once more

Seen: a client sends two requests at once, has both answers and sends a third: the second went to a records server once more, an unsafe one too, under its old id, or the client was told 408 where the third was shorter. Ruled out: the parser (it was fed these bytes). At fault is Channel::read: the pending read holds a place in the buffer behind what is there, and ClientConnection::next(), called from a timer for a request that was sent ahead, consumes all of that; flat_buffer then begins anew in front, and commit(size) gave out what stood there before, not what had come. Records servers, counter and watches consume within received() only, where no read is pending.

Changed: what has come is moved to where the buffer stands by then. No system call more, and nothing is copied where nothing was consumed meanwhile.

Before: StandingAhead.WhatFollowsRequestsSentAhead failed (r2 came a second time in the place of r3), and HundredsAtOnceAreAnsweredInOrder (408 to the request behind). After: both pass. The tests of answers that are reset on the way or never end, and of a flood of noise, passed before as well.

--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -3,6 +3,7 @@
 #include <poll.h>
 
 #include <boost/asio/buffer.hpp>
+#include <cstring>
 #include <exception>
 
 namespace weldstall {
@@ -62,19 +63,22 @@
     reading_ = true;
     const bool drops = discarding_;
     const auto buffer = drops ? boost::asio::buffer(dropped) : input_.prepare(kReadSize);
-    socket_.async_read_some(buffer,
-                            [this, drops, self = shared_from_this()](const error_code& ec, std::size_t size) {
-                                reading_ = false;
-                                if (closed_) return;
-                                if (ec) return fail();
-                                guarded([&] {
-                                    if (!drops && !discarding_) {
-                                        input_.commit(size);
-                                        received();
-                                    }
-                                    read();
-                                });
-                            });
+    socket_.async_read_some(buffer, [this, drops, from = buffer.data(), self = shared_from_this()](
+                                        const error_code& ec, std::size_t size) {
+        reading_ = false;
+        if (closed_) return;
+        if (ec) return fail();
+        guarded([&] {
+            if (!drops && !discarding_) {
+                // All that stood in front may have been consumed meanwhile: the buffer begins anew then.
+                const auto place = input_.prepare(size);
+                if (place.data() != from) std::memmove(place.data(), from, size);
+                input_.commit(size);
+                received();
+            }
+            read();
+        });
+    });
 }
 
 void Channel::discardInput() {
--- /dev/null
+++ b/tests/standing_test.cpp
@@ -0,0 +1,133 @@
+// What the standing test names and no other file here forces: requests sent ahead, connections that come up
+// late, windows for repeats, answers without a length, floods.
+#include <gtest/gtest.h>
+
+#include "gate.h"
+
+namespace weldstall::test {
+namespace {
+
+json patient() {
+    json s = settings();
+    for (json& c : s["classes"]) c["aimS"] = c["deadlineS"] = 400;  // waits are shares of the aim
+    return s;
+}
+
+std::string ofFree(std::string text) {  // a plan without a quota
+    return text.replace(text.find("team"), 4, "free");
+}
+
+int readiness(Socket& client) {
+    client.write("GET /-/ready HTTP/1.1\r\n\r\n");
+    return statusOf(client.message());
+}
+
+// ---- Requests sent ahead -------------------------------------------------------------------------------
+
+// By then the read of more was begun, and what was sent ahead has been taken out of the buffer.
+TEST(StandingAhead, WhatFollowsRequestsSentAheadIsReadAsItCame) {
+    Server worker;
+    Gate gate(Targets{target("w", worker)}, patient());
+    Socket client = gate.client();
+    client.write(request("spend", "r1", 100'000, "x") + request("spend", "r2", 100'000, "x"));
+    Socket link = worker.accept();
+    for (const char* id : {"r1", "r2", "r3", "r4"}) {
+        const std::string got = link.message();
+        EXPECT_TRUE(has(got, std::string("Request-Id: ") + id + "\r\n")) << id << ": " << got;
+        link.write(ok(id));
+        EXPECT_EQ(bodyOf(client.message()), id);
+        if (id[1] == '2') client.write(request("spend", "r3", 100'000, "x"));
+        if (id[1] == '3') client.write(request("spend", "r4", 100'000, "x"));
+    }
+}
+
+TEST(StandingAhead, HundredsAtOnceAreAnsweredInOrder) {
+    Server worker;
+    Gate gate(Targets{target("w", worker)}, patient());
+    Socket client = gate.client();
+    std::string all;
+    for (int i = 0; i < 200; ++i) all += ofFree(request("load", "r" + std::to_string(i), 100'000));
+    client.write(all);
+    Socket link = worker.accept();
+    for (int i = 0; i < 200; ++i) {
+        EXPECT_TRUE(has(link.message(), "Request-Id: r" + std::to_string(i) + "\r\n"));
+        link.write(ok(std::to_string(i)));
+        EXPECT_EQ(bodyOf(client.message()), std::to_string(i));
+    }
+    EXPECT_EQ(readiness(client), 200);
+}
+
+// Much that can't be read, and then a close or a reset: others are served on.
+TEST(StandingAhead, AFloodOfNoiseThatGoesCostsNobodyElse) {
+    Server worker;
+    Gate gate(Targets{target("w", worker)}, patient());
+    const std::string noise(2'000'000, '\n');
+    for (int i = 0; i < 6; ++i) {
+        Socket bad = gate.client();
+        try {
+            bad.write(i % 2 == 0 ? "nonsense\r\n\r\n" + noise : std::string(100'000, 'x'));
+        } catch (const std::runtime_error&) {  // ended on it
+        }
+        i < 3 ? bad.close() : bad.reset();
+    }
+    Socket client = gate.client();
+    client.write(request("load", "r", 100'000));
+    Socket link = worker.accept();
+    link.message();
+    link.write(ok("served"));
+    EXPECT_EQ(bodyOf(client.message()), "served");
+    EXPECT_FALSE(worker.waitReadable(0));
+}
+
+// ---- Answers -------------------------------------------------------------------------------------------
+
+// A reset is no end of an answer without a length, nor of one in chunks.
+TEST(StandingAnswers, OneThatIsResetOnTheWayIsNotServed) {
+    for (const char* begun :
+         {"HTTP/1.1 200 OK\r\n\r\nhalf", "HTTP/1.0 200 OK\r\nContent-Type: text/plain\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"}) {
+        Server worker;
+        Gate gate(Targets{target("w", worker)}, patient());
+        for (const char* cls : {"load", "spend"}) {
+            Socket client = gate.client();
+            client.write(request(cls, "r", 100'000));
+            Socket link = worker.accept();
+            link.message();
+            gate.whileStopped([&] {
+                link.write(begun);
+                link.reset();
+            });
+            if (std::string(cls) == "load") {
+                Socket again = worker.accept();
+                again.message();
+                again.write("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nwhole");
+                EXPECT_EQ(bodyOf(client.message()), "whole") << begun;
+            } else {
+                EXPECT_EQ(statusOf(client.message()), 502) << begun;
+            }
+        }
+    }
+}
+
+// Each byte comes by itself, none of them too late for the one before: it ends by its own time.
+TEST(StandingAnswers, OneThatNeverEndsLeavesTimeForAnother) {
+    Server worker;
+    Gate gate(Targets{target("w", worker)}, patient());
+    Socket client = gate.client();
+    client.write(request("load", "r", 100'000));
+    Socket link = worker.accept();
+    link.message();
+    link.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    try {
+        while (!link.waitReadable(10)) link.write("1\r\nx\r\n");
+    } catch (const std::runtime_error&) {  // the gatekeeper has closed it
+    }
+    Socket again = worker.accept();
+    again.message();
+    again.write(ok("whole"));
+    EXPECT_EQ(bodyOf(client.message()), "whole");
+}
+
+}  // namespace
+}  // namespace weldstall::test
