Write no keyed repeat on a connection that comes up after its window

Seen: a keyed request's first attempt may have run, the further one goes to a records server whose connection comes up late, and is written when it does, though records servers remember the first one no longer: it would run again. The module looked at the window when it chose (mayRetry), and WorkerPool::connected only at the drain grace.

Changed: SendAttempt says within which time a repeat may begin, counted from the earliest attempt's send; a connection that comes up later carries nothing, and the attempt ends as never sent.

Before: StandingLate.AKeyedOneWhoseConnectionComesUpAfterTheWindow failed. After: passes. The time that a further attempt tells, and a repeat within its window, were right before (tests of their own).

--- a/include/slipshift/gatekeeper.h
+++ b/include/slipshift/gatekeeper.h
@@ -152,7 +152,12 @@
 
 // ---- Actions --------------------------------------------------------------------------------------
 
-struct SendAttempt { RequestId request; WorkerId worker; Duration timeout{}; };
+struct SendAttempt {
+    RequestId request;
+    WorkerId worker;
+    Duration timeout{};
+    Duration beginWithin{};        // after this it must not begin any more, and is notSent; 0: no such limit
+};
 struct CancelAttempt { RequestId request; int attempt = 0; };
 struct Refuse { RequestId request; Duration retryAfter{}; };  // a retry is harmless; 0: no advice
 struct Fail { RequestId request; };                           // promises nothing
--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -776,7 +776,9 @@
         expire(w);
         w.sent.emplace_back(now_, work);
         w.sentWork += work;
-        act(SendAttempt{r.told.request, w.entry.worker, left});
+        const bool repeats = r.mayHaveRun && classOf(r).effect == Effect::keyed;
+        const Time until = repeats ? r.groupSince + classOf(r).repeatWindow : now_;
+        act(SendAttempt{r.told.request, w.entry.worker, left, until - now_});
     }
 
     // What an attempt may take: until the client leaves, or until its answer is worth nothing.
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -215,7 +215,7 @@
         never.outcome = Outcome::notSent;
         return attemptEnded(number, std::move(never));
     }
-    workers_.start(number, a.worker, a.timeout, r.forwarded);
+    workers_.start(number, a.worker, a.timeout, a.beginWithin, r.forwarded);
 }
 
 void Host::perform(const CancelAttempt& a) {
--- a/src/net/worker_pool.cpp
+++ b/src/net/worker_pool.cpp
@@ -210,12 +210,16 @@
            std::chrono::steady_clock::now() - w.leavingSince < limits_.drainGrace;
 }
 
-void WorkerPool::start(Number number, const std::string& name, Duration timeout,
+void WorkerPool::start(Number number, const std::string& name, Duration timeout, Duration beginWithin,
                        std::shared_ptr<const Forwarded> request) {
     const Moment now = std::chrono::steady_clock::now();
     const auto found = workers_.find(name);
-    attempts_[number] = {found == workers_.end() ? nullptr : found->second, std::move(request), now,
-                         now + timeout, nullptr};
+    attempts_[number] = {found == workers_.end() ? nullptr : found->second,
+                         std::move(request),
+                         now,
+                         now + timeout,
+                         beginWithin > Duration::zero() ? now + beginWithin : Moment::max(),
+                         nullptr};
     AttemptResult never;
     if (found == workers_.end()) {
         never.outcome = Outcome::notSent;
@@ -299,7 +303,8 @@
     if (found == attempts_.end()) return;
     Attempt& a = found->second;
     Worker& w = *a.worker;
-    if (!maySend(w)) {  // told while it was dialling that the worker leaves
+    // Told while it was dialling that the worker leaves, or its time to begin went by meanwhile.
+    if (!maySend(w) || std::chrono::steady_clock::now() >= a.beginBy) {
         a.link->close();
         AttemptResult never;
         never.outcome = Outcome::notSent;
--- a/src/net/worker_pool.h
+++ b/src/net/worker_pool.h
@@ -49,8 +49,9 @@
     ~WorkerPool();
 
     void update(const TargetList& list);
-    // Every attempt ends with one call of Hooks::done, at the earliest within this call.
-    void start(Number attempt, const std::string& worker, Duration timeout,
+    // Every attempt ends with one call of Hooks::done, at the earliest within this call. Where `beginWithin`
+    // is not 0 nothing is written after that time.
+    void start(Number attempt, const std::string& worker, Duration timeout, Duration beginWithin,
                std::shared_ptr<const Forwarded> request);
     void cancel(Number attempt);
     // Gives up one that has not gone out whole, as while its connection comes up: it never begins.
@@ -72,7 +73,7 @@
     struct Attempt {
         std::shared_ptr<Worker> worker;  // may have left the list
         std::shared_ptr<const Forwarded> request;
-        Moment began, until;
+        Moment began, until, beginBy;
         Link link;
         TimerQueue::Token timer = 0;
     };
--- a/tests/standing_test.cpp
+++ b/tests/standing_test.cpp
@@ -17,6 +17,10 @@
     return text.replace(text.find("team"), 4, "free");
 }
 
+long toldMs(const std::string& got) {
+    return std::stol(got.substr(got.find("Request-Timeout-Ms: ") + 20));
+}
+
 int readiness(Socket& client) {
     client.write("GET /-/ready HTTP/1.1\r\n\r\n");
     return statusOf(client.message());
@@ -79,6 +83,87 @@
     EXPECT_FALSE(worker.waitReadable(0));
 }
 
+// ---- Connections that come up late, and windows for repeats ---------------------------------------------
+
+// One attempt at `a` that fails, and a further one whose connection comes up late.
+struct Late {
+    explicit Late(json s) : gate(Targets{target("a", a)}, std::move(s)), watch(gate.discovery.accept()) {
+        watch.message();
+    }
+    // Sends `text` and ends its first attempt with `failing`; false where no further one is dialled for.
+    template <class Failing>
+    bool begin(const std::string& text, Failing&& failing) {
+        client.write(text);
+        Socket link = a.accept();
+        EXPECT_TRUE(has(link.message(), "Request-Id: r\r\n"));
+        watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                    listLine(42, true, {target("full", full)}));
+        watch.close();
+        watch = gate.discovery.accept();  // the list is in force by then
+        failing(link);
+        pollfd end{client.fd(), POLLIN, 0};
+        Socket probe = gate.client();
+        readiness(probe);
+        return ::poll(&end, 1, 0) == 0;
+    }
+    // The connection comes up, as the kernel tries again after about 1 s and 3 s.
+    Socket comesUp() {
+        full.accept();
+        return full.accept();
+    }
+
+    Server a, full{0};  // full's queue takes one connection; the next comes up once that is accepted
+    Socket plug = connectTo(full.port);
+    Gate gate;
+    Socket watch;
+    Socket client = gate.client();
+};
+
+TEST(StandingLate, AFurtherAttemptTellsWhatIsLeftWhenItIsWritten) {
+    Late late(patient());
+    ASSERT_TRUE(late.begin(request("spend", "r", 100'000, "x"), [](Socket& link) {
+        link.write("HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n");
+    }));
+    ::poll(nullptr, 0, 500);
+    Socket link = late.comesUp();
+    EXPECT_LE(toldMs(link.message()), 99'500);
+    link.write(ok("served"));
+    EXPECT_EQ(statusOf(late.client.message()), 200);
+}
+
+// Where the machine was so slow that the window was over before the further attempt, it is made longer.
+TEST(StandingLate, AKeyedOneWhoseConnectionComesUpAfterTheWindowIsNotWritten) {
+    for (const char* group : {"all", "zone", "cell"}) {
+        for (double window = 1;; window *= 3) {
+            ASSERT_LT(window, 30);
+            json s = patient();
+            s["classes"][1]["windowS"] = window;
+            s["classes"][1]["group"] = group;
+            Late late(s);
+            if (!late.begin(request("change", "r", 100'000, "x"), [](Socket& link) { link.reset(); }))
+                continue;
+            ::poll(nullptr, 0, static_cast<int>(window * 1000));
+            Socket link = late.comesUp();
+            EXPECT_TRUE(link.atEnd()) << group;
+            const int status =
+                statusOf(late.client.message());  // it may have run, and repeats would run again
+            EXPECT_TRUE(status != 200 && status != 429 && status != 503) << group << ' ' << status;
+            break;
+        }
+    }
+}
+
+TEST(StandingLate, AKeyedOneWhoseConnectionComesUpWithinTheWindowIsWritten) {
+    json s = patient();
+    s["classes"][1]["windowS"] = 400;
+    Late late(s);
+    ASSERT_TRUE(late.begin(request("change", "r", 100'000, "x"), [](Socket& link) { link.reset(); }));
+    Socket link = late.comesUp();
+    EXPECT_TRUE(has(link.message(), "Idempotency-Key: k-r\r\n"));
+    link.write(ok("served"));
+    EXPECT_EQ(statusOf(late.client.message()), 200);
+}
+
 // ---- Answers -------------------------------------------------------------------------------------------
 
 // A reset is no end of an answer without a length, nor of one in chunks.
