Count the time of a request sent ahead from when it came

Seen: a request that its client sent while the one before was still open got its time counted anew from that one's answer (next(): startedAt_ was the moment it was turned to), so its attempts told records servers more than was left to the client, and its answer could come long after the client had gone.

Changed: a connection notes when bytes came, to 10 ms, and a request's time counts from those of its first byte. How long half a request may stand counts from when it is turned to, as before.

--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -20,8 +20,9 @@
 
 constexpr std::size_t kMostBody = 64 * 1024;
 constexpr std::uint32_t kMostHeader = 16 * 1024;
-constexpr std::size_t kMostAhead = 96 * 1024;  // kept while an answer is awaited
-constexpr Duration kLinger = seconds(1);       // for a client to take in a last answer
+constexpr std::size_t kMostAhead = 96 * 1024;         // kept while an answer is awaited
+constexpr Duration kArrivalGrain = milliseconds(10);  // bytes that come so close together came together
+constexpr Duration kLinger = seconds(1);              // for a client to take in a last answer
 constexpr Duration kAcceptPause = milliseconds(50);
 constexpr Duration kFreshGrace = milliseconds(150);  // for the first request on a new connection then
 constexpr Duration kSweep = milliseconds(250);
@@ -137,7 +138,7 @@
     Duration stuckFor(Time now) const {
         if (busy_ || lingering_) return {};
         if (!allWritten()) return now - answeredAt_;
-        return partial_ ? now - (isFresh() ? acceptedAt_ : startedAt_) : Duration{};
+        return partial_ ? now - (isFresh() ? acceptedAt_ : begunAt_) : Duration{};
     }
     bool isFresh() const { return answers_ == 0; }
     // It has never sent a byte, or part of a request and no more: such clients wait for nothing.
@@ -212,6 +213,7 @@
 
     void received() override {
         heardAt = steady_clock::now();
+        noteArrival();
         if (busy_) {  // only to notice that the client leaves; one that sends so much ahead is not kept
             if (input().size() <= kMostAhead) return;
             keepAlive_ = false;
@@ -220,14 +222,32 @@
         next();
     }
 
+    // A client counts the time of a request from when it sent it, not from the answer before.
+    void noteArrival() {
+        const Time now = listener_.clock_.now();
+        if (noted_ == consumed_) arrivals_.clear();
+        if (arrivals_.empty() || now - arrivals_.back().second > kArrivalGrain)
+            arrivals_.emplace_back(noted_, now);
+        noted_ = consumed_ + input().size();
+    }
+    Time arrivalOfNext() {
+        while (arrivals_.size() > 1 && arrivals_[1].first <= consumed_) arrivals_.erase(arrivals_.begin());
+        return arrivals_.front().second;
+    }
+
     void next() {
         if (!isOpen() || busy_ || lingering_) return;
         listener_.clients_.splice(listener_.clients_.end(), listener_.clients_, place);
         if (input().size() == 0) return;
-        if (!partial_) startedAt_ = listener_.clock_.now();
+        if (!partial_) {
+            startedAt_ = arrivalOfNext();
+            begunAt_ = listener_.clock_.now();
+        }
         partial_ = true;
         error_code ec;
-        input().consume(parser_->put(input().data(), ec));
+        const std::size_t used = parser_->put(input().data(), ec);
+        consumed_ += used;
+        input().consume(used);
         if (announcesMore(*parser_, kMostBody)) return refuse(413);
         if (parser_->is_header_done() && isAmbiguous(parser_->get())) return refuse(400);
         if (ec == http::error::need_more) {
@@ -319,6 +339,10 @@
     std::optional<http::request_parser<http::string_body>> parser_;
     Time answeredAt_{};
     Time startedAt_{};  // when the request in hand began to come
+    Time begunAt_{};    // when it was turned to
+    // When bytes came, each moment with the number of those before it; the ones at work on are in front.
+    std::vector<std::pair<std::uint64_t, Time>> arrivals_;
+    std::uint64_t consumed_ = 0, noted_ = 0;  // bytes
     std::string id_, text_;
     std::uint64_t answers_ = 0;
     bool left_ = false, busy_ = false, lingering_ = false, partial_ = false, continued_ = false,
--- a/tests/standing_test.cpp
+++ b/tests/standing_test.cpp
@@ -28,6 +28,25 @@
 
 // ---- Requests sent ahead -------------------------------------------------------------------------------
 
+TEST(StandingAhead, TheTimeOfARequestCountsFromWhenItCameNotFromTheAnswerBeforeIt) {
+    Server worker;
+    Gate gate(Targets{target("w", worker)}, patient());
+    Socket client = gate.client();
+    client.write(request("load", "r1", 100'000) + request("load", "r2", 100'000));
+    Socket link = worker.accept();
+    EXPECT_TRUE(has(link.message(), "Request-Id: r1"));
+    ::poll(nullptr, 0, 600);
+    client.write(request("load", "r3", 100'000));
+    ::poll(nullptr, 0, 600);
+    for (const auto& [id, most] : {std::pair("r2", 98'800), std::pair("r3", 99'400)}) {
+        link.write(ok("x"));
+        EXPECT_EQ(statusOf(client.message()), 200);
+        const std::string got = link.message();
+        EXPECT_TRUE(has(got, std::string("Request-Id: ") + id)) << got;
+        EXPECT_LE(toldMs(got), most) << got;
+    }
+}
+
 // By then the read of more was begun, and what was sent ahead has been taken out of the buffer.
 TEST(StandingAhead, WhatFollowsRequestsSentAheadIsReadAsItCame) {
     Server worker;
