Answer what a client sent ahead before its connection ends

Seen: at SIGTERM the answer to a request ended its connection, and what the client had sent behind that, and this gatekeeper had taken in, was read and dropped: lost. The same for a client that sent more ahead than is kept (96 KiB): all of it was dropped with the first answer.

Changed: while it drains an answer ends the connection only where nothing more has come by then. Of more than is kept what was taken in is answered; what follows is read and dropped, to see the client leave, and the connection ends behind the last whole request.

--- a/src/net/channel.h
+++ b/src/net/channel.h
@@ -70,6 +70,9 @@
     // From now on what comes is read and dropped, only to see the connection's end: bounds what a peer can
     // make this process hold. Not reading would hide that the peer has left.
     void discardInput();
+    // The same, but what has come so far is kept.
+    void dropFurtherInput() { discarding_ = true; }
+    bool dropsInput() const { return discarding_; }
     void shutdownSend();
     tcp::socket& socket() { return socket_; }
 
--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -147,7 +147,9 @@
     void answer(const Answer& a) {
         busy_ = false;
         ++answers_;
-        const bool stays = keepAlive_ && !listener_.draining_;
+        // What has come by now is answered first, also while it drains: it would be lost with the connection.
+        const bool stays = keepAlive_ && (input().size() > 0 || !(dropsInput() || listener_.draining_) ||
+                                          (!dropsInput() && hasInput()));
         std::string& text = text_;
         text.clear();
         text.append("HTTP/1.1 ").append(std::to_string(a.status)).append(" ").append(reasonOf(a.status));
@@ -214,12 +216,9 @@
     void received() override {
         heardAt = steady_clock::now();
         noteArrival();
-        if (busy_) {  // only to notice that the client leaves; one that sends so much ahead is not kept
-            if (input().size() <= kMostAhead) return;
-            keepAlive_ = false;
-            return discardInput();
-        }
-        next();
+        if (!busy_) return next();
+        // Read on to notice that the client leaves. What it has sent ahead so far will be answered, no more.
+        if (input().size() > kMostAhead) dropFurtherInput();
     }
 
     // A client counts the time of a request from when it sent it, not from the answer before.
@@ -251,6 +250,7 @@
         if (announcesMore(*parser_, kMostBody)) return refuse(413);
         if (parser_->is_header_done() && isAmbiguous(parser_->get())) return refuse(400);
         if (ec == http::error::need_more) {
+            if (dropsInput()) return linger();  // its rest was dropped
             const auto& message = parser_->get();
             if (parser_->is_header_done() && !continued_ &&
                 boost::beast::iequals(message[http::field::expect], "100-continue")) {
@@ -262,7 +262,7 @@
         if (ec == http::error::body_limit) return refuse(413);
         if (ec == http::error::header_limit || ec == http::error::buffer_overflow) return refuse(431);
         if (ec) return refuse(400);
-        if (!parser_->is_done()) return;
+        if (!parser_->is_done()) return dropsInput() ? linger() : void();
         const auto message = parser_->release();
         keepAlive_ = message.keep_alive();
         renew();
--- a/tests/standing_test.cpp
+++ b/tests/standing_test.cpp
@@ -80,6 +80,60 @@
     EXPECT_EQ(readiness(client), 200);
 }
 
+// More than is kept for one connection: what has been taken in is answered, and then it ends.
+TEST(StandingAhead, OfMoreThanIsKeptWhatWasTakenInIsAnswered) {
+    Server worker;
+    Gate gate(Targets{target("w", worker)}, patient());
+    Socket client = gate.client();
+    // Far more than the kernel holds: once it is written the gatekeeper has read past what it keeps.
+    for (int i = 0; i < 1000; ++i)
+        client.write(request("spend", "r" + std::to_string(i), 100'000, std::string(30'000, 'x')));
+    Socket link = worker.accept();
+    EXPECT_TRUE(has(link.message(), "Request-Id: r0\r\n"));
+    int answered = 0;
+    for (;; ++answered) {
+        link.write(ok(std::to_string(answered)));
+        const auto answer = client.readMessage();
+        if (!answer) break;
+        EXPECT_EQ(bodyOf(*answer), std::to_string(answered));
+        pollfd either[2] = {{link.fd(), POLLIN, 0}, {client.fd(), POLLIN, 0}};
+        ASSERT_GT(::poll(either, 2, kPatienceMs), 0);
+        if (either[0].revents == 0) {
+            ++answered;
+            break;
+        }
+        EXPECT_TRUE(has(link.message(), "Request-Id: r" + std::to_string(answered + 1) + "\r\n"));
+    }
+    EXPECT_GE(answered, 3);  // 96 KiB
+    EXPECT_TRUE(client.atEnd());
+}
+
+TEST(StandingAhead, WhatWasTakenInBeforeAShutdownIsAnsweredBeforeTheConnectionEnds) {
+    Server worker;
+    Gate gate(Targets{target("w", worker)}, patient());
+    Socket client = gate.client(), probe = gate.client();
+    client.write(request("spend", "r0", 100'000, "x") + request("spend", "r1", 100'000, "x") +
+                 request("spend", "r2", 100'000, "x"));
+    Socket link = worker.accept();
+    EXPECT_TRUE(has(link.message(), "Request-Id: r0\r\n"));
+    gate.terminate();
+    while (readiness(probe) == 200)
+        ;
+    for (int i = 0; i < 3; ++i) {
+        link.write(ok("x"));
+        const std::string answer = client.message();
+        EXPECT_EQ(statusOf(answer), 200);
+        EXPECT_EQ(has(answer, "Connection: close"), i == 2) << i;
+        if (i < 2) {
+            EXPECT_TRUE(has(link.message(), "Request-Id: r" + std::to_string(i + 1) + "\r\n"));
+        }
+    }
+    EXPECT_TRUE(client.atEnd());
+    client.close();
+    probe.close();
+    EXPECT_EQ(gate.wait(), 0);
+}
+
 // Much that can't be read, and then a close or a reset: others are served on.
 TEST(StandingAhead, AFloodOfNoiseThatGoesCostsNobodyElse) {
     Server worker;
