--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -870,6 +870,27 @@
     EXPECT_EQ(late.fails.size(), 1u);
 }
 
+// Its connection may come up late: it is told how long it may take to begin, from the earliest attempt's send.
+TEST(Effects, AKeyedRepeatMustBeginWithinTheWindowAndOthersAtAnyTime) {
+    for (const Outcome first : {Outcome::reset, Outcome::rejected}) {
+        Settings s = plainSettings();
+        s.classes[0].effect = Effect::keyed;
+        s.classes[0].group = Group::all;
+        s.classes[0].repeatWindow = milliseconds(400);
+        Rig rig(s);
+        rig.request();
+        EXPECT_EQ(rig.sends.at(0).beginWithin, Duration::zero());
+        rig.advance(milliseconds(150));
+        rig.end(rig.sends[0], 0, first, false);
+        ASSERT_EQ(rig.sends.size(), 2u);
+        EXPECT_EQ(rig.sends[1].beginWithin, first == Outcome::reset ? milliseconds(250) : Duration::zero());
+        rig.advance(milliseconds(150));
+        rig.end(rig.sends[1], 1, Outcome::connectFailed, false);
+        ASSERT_EQ(rig.sends.size(), 3u);
+        EXPECT_EQ(rig.sends[2].beginWithin, first == Outcome::reset ? milliseconds(100) : Duration::zero());
+    }
+}
+
 TEST(Answers, OneFinalAnswerAndNothingAfterIt) {
     Rig rig(plainSettings());
     rig.request();
--- a/tests/standing_test.cpp
+++ b/tests/standing_test.cpp
@@ -237,6 +237,24 @@
     EXPECT_EQ(statusOf(late.client.message()), 200);
 }
 
+// Whichever is chosen first, the connection that does not come up costs its time limit and no request.
+TEST(StandingLate, OneThatNeverComesUpIsGivenUpAndAnotherIsTried) {
+    Server full(0), worker;
+    Socket plug = connectTo(full.port);
+    json s = patient();
+    s["allowed"]["dialTimeoutS"] = 0.2;
+    Gate gate(Targets{target("full", full), target("w", worker)}, s);
+    Socket link;
+    for (int i = 0; i < 4; ++i) {
+        Socket client = gate.client();
+        client.write(ofFree(request("spend", "r" + std::to_string(i), 100'000, "x")));
+        if (i == 0) link = worker.accept();
+        EXPECT_TRUE(has(link.message(), "Request-Id: r" + std::to_string(i)));
+        link.write(ok("served"));
+        EXPECT_EQ(statusOf(client.message()), 200);
+    }
+}
+
 // ---- Answers -------------------------------------------------------------------------------------------
 
 // A reset is no end of an answer without a length, nor of one in chunks.
