--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -1,6 +1,9 @@
 #include "net/channel.h"
 
+#include <poll.h>
+
 #include <boost/asio/buffer.hpp>
+#include <cstring>
 #include <exception>
 
 namespace weldstall {
@@ -62,19 +65,22 @@
     reading_ = true;
     const bool drops = discarding_;
     const auto buffer = drops ? boost::asio::buffer(dropped) : input_.prepare(kReadSize);
-    socket_.async_read_some(buffer,
-                            [this, drops, self = shared_from_this()](const error_code& ec, std::size_t size) {
-                                reading_ = false;
-                                if (closed_) return;
-                                if (ec) return fail();
-                                guarded([&] {
-                                    if (!drops && !discarding_) {
-                                        input_.commit(size);
-                                        received();
-                                    }
-                                    read();
-                                });
-                            });
+    socket_.async_read_some(buffer, [this, drops, from = buffer.data(), self = shared_from_this()](
+                                        const error_code& ec, std::size_t size) {
+        reading_ = false;
+        if (closed_) return;
+        if (ec) return fail();
+        guarded([&] {
+            if (!drops && !discarding_) {
+                // All that stood in front may have been consumed meanwhile: the buffer begins anew then.
+                const auto place = input_.prepare(size);
+                if (place.data() != from) std::memmove(place.data(), from, size);
+                input_.commit(size);
+                received();
+            }
+            read();
+        });
+    });
 }
 
 void Channel::discardInput() {
@@ -119,6 +125,14 @@
     return !ec && size > 0 ? Peeked::bytes : Peeked::end;
 }
 
+bool Channel::endHasCome() {
+    if (closed_) return true;
+    const Peeked peeked = peek();
+    if (peeked != Peeked::bytes) return peeked == Peeked::end;
+    pollfd asked{socket_.native_handle(), POLLRDHUP, 0};  // tells of an end whatever stands in front of it
+    return ::poll(&asked, 1, 0) > 0 && asked.revents != 0;
+}
+
 void Channel::shutdownSend() {
     error_code ec;
     socket_.shutdown(tcp::socket::shutdown_send, ec);
--- a/src/net/channel.h
+++ b/src/net/channel.h
@@ -41,6 +41,9 @@
     bool hasInput() { return input_.size() > 0 || peek() == Peeked::bytes; }
     // Neither bytes nor the connection's end have come that were not taken in yet.
     bool isQuiet() { return input_.size() == 0 && peek() == Peeked::nothing; }
+    // The peer's end, or a break, has come, read or not, also where it stands behind bytes that were not
+    // taken in yet. One system call, two where there are such bytes.
+    bool endHasCome();
     // Starts an accepted connection.
     void start();
     // Writes at once what the kernel takes, after all that was sent before.
@@ -71,6 +74,9 @@
     // From now on what comes is read and dropped, only to see the connection's end: bounds what a peer can
     // make this process hold. Not reading would hide that the peer has left.
     void discardInput();
+    // The same, but what has come so far is kept.
+    void dropFurtherInput() { discarding_ = true; }
+    bool dropsInput() const { return discarding_; }
     void shutdownSend();
     tcp::socket& socket() { return socket_; }
 
--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -20,8 +20,9 @@
 
 constexpr std::size_t kMostBody = 64 * 1024;
 constexpr std::uint32_t kMostHeader = 16 * 1024;
-constexpr std::size_t kMostAhead = 96 * 1024;  // kept while an answer is awaited
-constexpr Duration kLinger = seconds(1);       // for a client to take in a last answer
+constexpr std::size_t kMostAhead = 96 * 1024;         // kept while an answer is awaited
+constexpr Duration kArrivalGrain = milliseconds(10);  // bytes that come so close together came together
+constexpr Duration kLinger = seconds(1);              // for a client to take in a last answer
 constexpr Duration kAcceptPause = milliseconds(50);
 constexpr Duration kFreshGrace = milliseconds(150);  // for the first request on a new connection then
 constexpr Duration kSweep = milliseconds(250);
@@ -137,7 +138,7 @@
     Duration stuckFor(Time now) const {
         if (busy_ || lingering_) return {};
         if (!allWritten()) return now - answeredAt_;
-        return partial_ ? now - (isFresh() ? acceptedAt_ : startedAt_) : Duration{};
+        return partial_ ? now - (isFresh() ? acceptedAt_ : begunAt_) : Duration{};
     }
     bool isFresh() const { return answers_ == 0; }
     // It has never sent a byte, or part of a request and no more: such clients wait for nothing.
@@ -146,7 +147,9 @@
     void answer(const Answer& a) {
         busy_ = false;
         ++answers_;
-        const bool stays = keepAlive_ && !listener_.draining_;
+        // What has come by now is answered first, also while it drains: it would be lost with the connection.
+        const bool stays = keepAlive_ && (input().size() > 0 || !(dropsInput() || listener_.draining_) ||
+                                          (!dropsInput() && hasInput()));
         std::string& text = text_;
         text.clear();
         text.append("HTTP/1.1 ").append(std::to_string(a.status)).append(" ").append(reasonOf(a.status));
@@ -212,25 +215,42 @@
 
     void received() override {
         heardAt = steady_clock::now();
-        if (busy_) {  // only to notice that the client leaves; one that sends so much ahead is not kept
-            if (input().size() <= kMostAhead) return;
-            keepAlive_ = false;
-            return discardInput();
-        }
-        next();
+        noteArrival();
+        if (!busy_) return next();
+        // Read on to notice that the client leaves. What it has sent ahead so far will be answered, no more.
+        if (input().size() > kMostAhead) dropFurtherInput();
+    }
+
+    // A client counts the time of a request from when it sent it, not from the answer before.
+    void noteArrival() {
+        const Time now = listener_.clock_.now();
+        if (noted_ == consumed_) arrivals_.clear();
+        if (arrivals_.empty() || now - arrivals_.back().second > kArrivalGrain)
+            arrivals_.emplace_back(noted_, now);
+        noted_ = consumed_ + input().size();
+    }
+    Time arrivalOfNext() {
+        while (arrivals_.size() > 1 && arrivals_[1].first <= consumed_) arrivals_.erase(arrivals_.begin());
+        return arrivals_.front().second;
     }
 
     void next() {
         if (!isOpen() || busy_ || lingering_) return;
         listener_.clients_.splice(listener_.clients_.end(), listener_.clients_, place);
         if (input().size() == 0) return;
-        if (!partial_) startedAt_ = listener_.clock_.now();
+        if (!partial_) {
+            startedAt_ = arrivalOfNext();
+            begunAt_ = listener_.clock_.now();
+        }
         partial_ = true;
         error_code ec;
-        input().consume(parser_->put(input().data(), ec));
+        const std::size_t used = parser_->put(input().data(), ec);
+        consumed_ += used;
+        input().consume(used);
         if (announcesMore(*parser_, kMostBody)) return refuse(413);
         if (parser_->is_header_done() && isAmbiguous(parser_->get())) return refuse(400);
         if (ec == http::error::need_more) {
+            if (dropsInput()) return linger();  // its rest was dropped
             const auto& message = parser_->get();
             if (parser_->is_header_done() && !continued_ &&
                 boost::beast::iequals(message[http::field::expect], "100-continue")) {
@@ -242,7 +262,7 @@
         if (ec == http::error::body_limit) return refuse(413);
         if (ec == http::error::header_limit || ec == http::error::buffer_overflow) return refuse(431);
         if (ec) return refuse(400);
-        if (!parser_->is_done()) return;
+        if (!parser_->is_done()) return dropsInput() ? linger() : void();
         const auto message = parser_->release();
         keepAlive_ = message.keep_alive();
         renew();
@@ -319,6 +339,10 @@
     std::optional<http::request_parser<http::string_body>> parser_;
     Time answeredAt_{};
     Time startedAt_{};  // when the request in hand began to come
+    Time begunAt_{};    // when it was turned to
+    // When bytes came, each moment with the number of those before it; the ones at work on are in front.
+    std::vector<std::pair<std::uint64_t, Time>> arrivals_;
+    std::uint64_t consumed_ = 0, noted_ = 0;  // bytes
     std::string id_, text_;
     std::uint64_t answers_ = 0;
     bool left_ = false, busy_ = false, lingering_ = false, partial_ = false, continued_ = false,
@@ -401,6 +425,12 @@
     accept();  // it may have waited for a connection that is not busy
 }
 
+bool ClientListener::hasLeft(ClientConnection& client) {
+    if (!client.endHasCome()) return false;
+    client.leave();
+    return true;
+}
+
 // Ends connections whose request does not come, or does not come whole, however slowly it dribbles in, or
 // whose client takes no answer: they would hold a descriptor for ever.
 void ClientListener::sweep() {
--- a/src/net/client_listener.h
+++ b/src/net/client_listener.h
@@ -57,6 +57,9 @@
     void answer(ClientConnection& client, const Answer& answer);
     // Ends the client that has been idle the longest, for a connection of another kind; false where none is.
     bool giveWay();
+    // True where the client has gone, though that may not have been read yet: it is taken to have left, and
+    // Hooks::gone has been called by the time this returns.
+    bool hasLeft(ClientConnection& client);
     // Goes on listening for a while, answers what is taken, and reports when nobody is left.
     void drain(std::function<void()> done);
 
--- a/src/net/worker_pool.cpp
+++ b/src/net/worker_pool.cpp
@@ -164,8 +164,8 @@
     std::optional<http::response_parser<http::string_body>> parser_;
 };
 
-WorkerPool::WorkerPool(boost::asio::io_context& io, TimerQueue& timers, const Limits& limits, Done done)
-    : io_(io), timers_(timers), limits_(limits), done_(std::move(done)) {}
+WorkerPool::WorkerPool(boost::asio::io_context& io, TimerQueue& timers, const Limits& limits, Hooks hooks)
+    : io_(io), timers_(timers), limits_(limits), hooks_(std::move(hooks)) {}
 WorkerPool::~WorkerPool() = default;
 
 void WorkerPool::update(const TargetList& list) {
@@ -210,12 +210,16 @@
            std::chrono::steady_clock::now() - w.leavingSince < limits_.drainGrace;
 }
 
-void WorkerPool::start(Number number, const std::string& name, Duration timeout,
+void WorkerPool::start(Number number, const std::string& name, Duration timeout, Duration beginWithin,
                        std::shared_ptr<const Forwarded> request) {
     const Moment now = std::chrono::steady_clock::now();
     const auto found = workers_.find(name);
-    attempts_[number] = {found == workers_.end() ? nullptr : found->second, std::move(request), now,
-                         now + timeout, nullptr};
+    attempts_[number] = {found == workers_.end() ? nullptr : found->second,
+                         std::move(request),
+                         now,
+                         now + timeout,
+                         beginWithin > Duration::zero() ? now + beginWithin : Moment::max(),
+                         nullptr};
     AttemptResult never;
     if (found == workers_.end()) {
         never.outcome = Outcome::notSent;
@@ -295,11 +299,13 @@
 }
 
 void WorkerPool::connected(Number number) {
+    if (!hooks_.wanted(number)) return cancel(number);
     const auto found = attempts_.find(number);
     if (found == attempts_.end()) return;
     Attempt& a = found->second;
     Worker& w = *a.worker;
-    if (!maySend(w)) {  // told while it was dialling that the worker leaves
+    // Told while it was dialling that the worker leaves, or its time to begin went by meanwhile.
+    if (!maySend(w) || std::chrono::steady_clock::now() >= a.beginBy) {
         a.link->close();
         AttemptResult never;
         never.outcome = Outcome::notSent;
@@ -381,7 +387,7 @@
         std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - found->second.began);
     timers_.cancel(found->second.timer);
     attempts_.erase(found);
-    done_(number, std::move(result));
+    hooks_.done(number, std::move(result));
 }
 
 // Guards against writing to a connection that its worker is just closing.
--- a/src/net/worker_pool.h
+++ b/src/net/worker_pool.h
@@ -39,14 +39,20 @@
         MakeRoom makeRoom{};         // where the process has no descriptor left
     };
     using Number = std::uint64_t;
-    using Done = std::function<void(Number, AttemptResult&&)>;
+    struct Hooks {
+        std::function<void(Number, AttemptResult&&)> done;
+        // Asked before an attempt is written on a connection that has just come up; false: it never begins.
+        // May cancel the attempt itself.
+        std::function<bool(Number)> wanted;
+    };
 
-    WorkerPool(boost::asio::io_context& io, TimerQueue& timers, const Limits& limits, Done done);
+    WorkerPool(boost::asio::io_context& io, TimerQueue& timers, const Limits& limits, Hooks hooks);
     ~WorkerPool();
 
     void update(const TargetList& list);
-    // Every attempt ends with one call of Done, at the earliest within this call.
-    void start(Number attempt, const std::string& worker, Duration timeout,
+    // Every attempt ends with one call of Hooks::done, at the earliest within this call. Where `beginWithin`
+    // is not 0 nothing is written after that time.
+    void start(Number attempt, const std::string& worker, Duration timeout, Duration beginWithin,
                std::shared_ptr<const Forwarded> request);
     void cancel(Number attempt);
     // Gives up one that has not gone out whole, as while its connection comes up: it never begins.
@@ -70,7 +76,7 @@
     struct Attempt {
         std::shared_ptr<Worker> worker;  // may have left the list
         std::shared_ptr<const Forwarded> request;
-        Moment began, until;
+        Moment began, until, beginBy;
         Link link;
         TimerQueue::Token timer = 0;
     };
@@ -93,7 +99,7 @@
     boost::asio::io_context& io_;
     TimerQueue& timers_;
     Limits limits_;
-    Done done_;
+    Hooks hooks_;
     std::unordered_map<std::string, std::shared_ptr<Worker>> workers_;
     std::unordered_map<Number, Attempt> attempts_;
     std::shared_ptr<std::size_t> connections_ = std::make_shared<std::size_t>(0);
