Bound what all gatekeepers send to a cold server by what the fleet serves

A cold records server's budget was its warmth x 0.9 of the tipping multiple x what this gatekeeper had sent to a warm one (coldHasRoom, fleet), and with under one attempt of budget a draw by chance from what was asked for. Three reasons: where the fleet is overloaded, as when most of it is replaced, what is sent or asked for is more than a warm server's capacity; the draws of gatekeepers with thin traffic add up to a Poisson spread. Where no warm server is left the budget by what warm ones were sent is nought, so cold ones starved (a third of what they could do). Ruled out: traffic through some gatekeepers only (Hot30, Hot300: none over). Gatekeepers restarted with an empty memory are in every scenario, and were not tried apart.

Of every answer that a usable server serves a cold one earns its part, in requests of mean work; it is sent an attempt when that has come up to one. What is served is at most what can be served. With thin traffic (each server heard of less than once in 3 s) the share is less, as turns come by the chance of who gets the requests. Where no server is warm and nobody serves, half of what is asked for counts. The walk over all servers' windows for every choice is gone.

--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -64,6 +64,9 @@
 constexpr double kSubsetSharers = 10;  // gatekeepers that each worker is used by at least
 constexpr double kForeignZone = 0.1;   // how much worse a worker in another zone is taken to be
 constexpr double kColdSafety = 0.9;    // share of the tipping multiple used on a cold worker
+constexpr double kColdReserve = 1.25;  // with little traffic that share is less by this factor at least
+constexpr double kColdStore = 1.5;     // attempts at a cold worker that each gatekeeper may save up
+constexpr double kColdAsked = 0.5;     // what a request counts that finds no worker, as if that were served
 constexpr Duration kSubsetAge = std::chrono::seconds(1);     // after which the subset is drawn anew
 constexpr Duration kLongestName = std::chrono::seconds(60);  // the counter keeps no name for longer
 
@@ -115,6 +118,8 @@
             if (e.startedAt > w.entry.startedAt) {  // a new process: what was known of the old one is void
                 w.out = std::exchange(w, Worker{}).out;
                 w.limit = startLimit();
+                w.credit = firstCredit(e);
+                w.earnedAt = earned_;
             }
             w.entry = e;
             w.usable = e.availability == Availability::up;
@@ -142,13 +147,20 @@
     // arcs of the sorted names, so that each worker is in as many as any other; cold and warm ones have arcs
     // of their own, so that each part has its share of both.
     void drawSubset() {
-        if (s_.gatekeepers <= kLimitFew) return;
         subsetAt_ = now_;
+        for (Worker& w : workers_)
+            if (w.usable && coldShare(w) < 1) earn(w, coldShare(w));
+        weight_ = capacity_ = 0;
         std::vector<Worker*> warm, cold;
         for (Worker& w : workers_) {
-            w.part = 0;
-            if (w.usable) (coldShare(w) < 1 ? cold : warm).push_back(&w);
+            const double share = coldShare(w);
+            if (s_.gatekeepers > kLimitFew) w.part = 0;
+            if (!w.usable) continue;
+            weight_ += w.entry.weight;
+            capacity_ += w.entry.weight * share;
+            (share < 1 ? cold : warm).push_back(&w);
         }
+        if (s_.gatekeepers <= kLimitFew) return;
         const double listed = static_cast<double>(warm.size() + cold.size());
         const double used = std::max(kSubsetLeast, listed * kSubsetSharers / s_.gatekeepers);
         drawArc(warm, used / listed);
@@ -660,41 +672,32 @@
         return age >= 1 ? 1 : s_.coldFrom + (1 - s_.coldFrom) * std::max(age, 0.0);
     }
 
-    void expire(Worker& w) {
-        while (!w.sent.empty() && w.sent.front().first <= now_ - s_.tipAfter) {
-            w.sentWork -= w.sent.front().second;
-            w.sent.pop_front();
-        }
+    // A cold worker's budget. What the workers serve is at most what they can, however much is asked for: of
+    // each answer a cold one earns its part here, times the tipping multiple, and it is sent an attempt when
+    // that has come up to one. Each starts with a part of one that is dealt out evenly over the gatekeepers
+    // by the worker's name and start, so that their turns come one after the other and the sum of all keeps
+    // to what was earned; drawn by each alone it would add up to a Poisson spread.
+    void earn(Worker& w, double share) {
+        const double served = earned_ - std::exchange(w.earnedAt, earned_);
+        if (w.part <= 0) return;
+        const double part = share * w.entry.weight * std::max(1.0, s_.tipMultiple * kColdSafety) / w.part;
+        // With little traffic turns come by the chance of who gets the requests, which needs a reserve.
+        const double fleet = hearEvery_ > kForget ? std::max(weight_, kColdReserve * capacity_) : capacity_;
+        w.credit = std::min(kColdStore, w.credit + part * served / std::max(fleet, 1e-9));
     }
-
-    // What warm workers were sent within the last tipping window, and the weights of all that are usable.
-    struct Fleet {
-        double warmWork = 0, warmWeight = 0, weight = 0;
-    };
-    Fleet fleet() {
-        Fleet f;
-        for (Worker& w : workers_) {
-            if (!w.usable) continue;
-            f.weight += w.entry.weight;
-            if (coldShare(w) < 1) continue;
-            expire(w);
-            f.warmWork += w.sentWork;
-            f.warmWeight += w.entry.weight;
-        }
-        return f;
+    double firstCredit(const WorkerEntry& e) const {
+        constexpr std::uint64_t kGolden = 0x9e3779b97f4a7c15;  // its multiples are spread evenly
+        std::uint64_t hash = 0xcbf29ce484222325 ^ static_cast<std::uint64_t>(e.startedAt.count());
+        for (const char letter : e.worker) hash = (hash ^ static_cast<unsigned char>(letter)) * 0x100000001b3;
+        hash = (hash ^ hash >> 32) * kGolden + static_cast<std::uint64_t>(s_.self) * kGolden;
+        return static_cast<double>(hash >> 11) * 0x1.0p-53;
     }
 
-    // A cold worker takes its part of what a warm one is sent, in every tipping window: warm workers are at
-    // most at their capacity, so the sum over all gatekeepers stays under the tipping multiple. A part under
-    // one attempt (many gatekeepers) is drawn by chance, so that it holds summed over them.
-    bool coldHasRoom(Worker& w, double work, const Fleet& f) {
+    bool coldHasRoom(Worker& w) {
         const double share = coldShare(w);
         if (share >= 1) return true;
-        expire(w);
-        if (w.part <= 0) return false;
-        const double part = share * w.entry.weight * std::max(1.0, s_.tipMultiple * kColdSafety) / w.part;
-        if (w.sentWork + work <= part * f.warmWork / std::max(f.warmWeight, 1e-9)) return true;
-        return w.sent.empty() && chance() * f.weight < part;
+        earn(w, share);
+        return w.part > 0 && w.credit >= 1;
     }
 
     double score(const Worker& w) {
@@ -713,7 +716,16 @@
     int choose(const Request& r) {
         if (now_ - subsetAt_ > kSubsetAge) drawSubset();  // some have become warm
         const int own = choose(r, true);
-        return own >= 0 || s_.gatekeepers <= kLimitFew ? own : choose(r, false);
+        const int any = own >= 0 || s_.gatekeepers <= kLimitFew ? own : choose(r, false);
+        // Nobody serves and none is warm: then what is asked for has to tell, though it may be too much.
+        if (any < 0 && now_ - servedAt_ > s_.tipAfter / 8 && !someWarm())
+            earned_ += kColdAsked * relativeWork(r);
+        return any;
+    }
+
+    bool someWarm() const {
+        return std::any_of(workers_.begin(), workers_.end(),
+                           [&](const Worker& w) { return w.usable && !isAside(w) && coldShare(w) >= 1; });
     }
 
     int choose(const Request& r, bool subset) {
@@ -725,15 +737,13 @@
         }
         // Never so many aside that the rest drown: past that share the marks are not believed.
         const bool believe = aside <= listed * kEjectMost;
-        const double work = workOf(r);
-        const Fleet f = fleet();
         int best = -1;
         double bestScore = 0;
         for (std::size_t i = 0; i < workers_.size(); ++i) {
             Worker& w = workers_[i];
             if (!w.usable || (isAside(w) && believe) || w.out + 1 > w.limit) continue;
             if (subset != (w.part > 0)) continue;
-            if (!coldHasRoom(w, work, f)) continue;
+            if (!coldHasRoom(w)) continue;
             if (r.mayHaveRun && !sameGroup(cls, r, w)) continue;
             double value = score(w);
             if (w.onTrial && cls.effect != Effect::safe) value *= 4;
@@ -756,6 +766,16 @@
         const double mean = classLatency_[static_cast<std::size_t>(r.told.requestClass)];
         return mean > 0 ? mean : seconds(classOf(r).aim) / 8;
     }
+    // In requests of mean work.
+    double relativeWork(const Request& r) const {
+        double work = 0, samples = 0;
+        for (std::size_t k = 0; k < classLatency_.size(); ++k) {
+            work += classLatency_[k] * classSamples_[k];
+            samples += classSamples_[k];
+        }
+        const double own = classLatency_[static_cast<std::size_t>(r.told.requestClass)];
+        return own > 0 && work > 0 ? own * samples / work : 1;
+    }
 
     // ---- Attempts ---------------------------------------------------------------------------------
 
@@ -772,10 +792,7 @@
         ++w.out;
         ++out_;
         if (Customer* c = knownCustomer(r)) ++c->out;
-        const double work = workOf(r);
-        expire(w);
-        w.sent.emplace_back(now_, work);
-        w.sentWork += work;
+        w.credit -= relativeWork(r);
         act(SendAttempt{r.told.request, w.entry.worker, left});
     }
 
@@ -889,6 +906,8 @@
         }
         w.heardAt = now_;
         if (e.outcome == Outcome::ok) {
+            servedAt_ = now_;
+            if (w.usable) earned_ += relativeWork(r);
             w.errors = blend(w.errors, 0, kSmooth);
             if (std::exchange(w.onTrial, false))
                 w.errors = std::min(w.errors, kEjectAt / 2);
@@ -1041,9 +1060,12 @@
     double hearEvery_ = 0;  // s in which this gatekeeper hears of every worker once, about
     Time heardAt_{};
     Time subsetAt_{};
-    double median_ = 0.2;  // of the times of answers, as parts of their aims
-    int out_ = 0;          // own attempts outstanding
-    double limit_ = 0;     // how many may be
+    double weight_ = 0, capacity_ = 0;  // of the usable workers, by weight and by weight x warmth
+    double earned_ = 0;                 // work served by usable ones, in requests of mean work
+    Time servedAt_{};                   // the latest answer that was served
+    double median_ = 0.2;               // of the times of answers, as parts of their aims
+    int out_ = 0;                       // own attempts outstanding
+    double limit_ = 0;                  // how many may be
     double retries_ = kRetryStore;
     bool asked_ = false;
 };
--- a/src/state.h
+++ b/src/state.h
@@ -24,8 +24,8 @@
     Time limitCutAt{};
     bool onTrial = false;  // back from aside, one attempt at a time until it serves one
     int relapses = 0;
-    std::deque<std::pair<Time, double>> sent;  // work sent within the last tipping window
-    double sentWork = 0;
+    double credit = 0;    // attempts of mean work that a cold one may be sent
+    double earnedAt = 0;  // all work served, when that was last added to
 };
 
 enum class Fate { open, admitted, refused };
