--- a/src/net/call_schedule.h
+++ b/src/net/call_schedule.h
@@ -9,8 +9,9 @@
 
 namespace weldstall {
 
-// What discovery has to tell counts 6 s after it had it and could be reached, 6 s after a watch's last word and
-// 4 s after SIGHUP, whatever became of the calls before. A call that finds it well gets `kMostCall` of that.
+// What discovery has to tell counts 6 s after it had it and could be reached, 6 s after a watch's last word
+// and 4 s after SIGHUP, whatever became of the calls before. A call that finds it well gets `kMostCall` of
+// that.
 constexpr Duration kListTerm = std::chrono::seconds(6), kReloadTerm = std::chrono::seconds(4);
 constexpr Duration kMostCall = std::chrono::milliseconds(1500);
 constexpr Duration kMostCallAfterSilence = std::chrono::milliseconds(1200);  // its time is shorter
@@ -18,8 +19,9 @@
 constexpr Duration kMostSilent = std::chrono::milliseconds(2300);
 constexpr Duration kMostDialling = std::chrono::seconds(1);  // for an agent on the own machine to take a call
 
-// The moments t with t mod period == period * self / gatekeepers, on the clock that all gatekeepers share: `n` of
-// them call n / period times a second, evenly, without a word between them. Drawn moments would have peaks.
+// The moments t with t mod period == period * self / gatekeepers, on the clock that all gatekeepers share:
+// `n` of them call n / period times a second, evenly, without a word between them. Drawn moments would have
+// peaks.
 class Slots {
 public:
     Slots(int self, int gatekeepers)
@@ -40,8 +42,11 @@
 class CallSchedule {
 public:
     // An agent on the own machine, at no cost to others: what it gets counts at once.
-    static CallSchedule pushed(std::uint64_t seed) { return CallSchedule(Slots(0, 1), Duration::zero(), seed); }
-    // One service with a queue for all gatekeepers. `mustAsk`: the longest that it may go unasked; 0: not told.
+    static CallSchedule pushed(std::uint64_t seed) {
+        return CallSchedule(Slots(0, 1), Duration::zero(), seed);
+    }
+    // One service with a queue for all gatekeepers. `mustAsk`: the longest that it may go unasked; 0: not
+    // told.
     static CallSchedule asked(int self, int gatekeepers, Duration mustAsk, std::uint64_t seed) {
         constexpr Duration usual = kListTerm - kMostCall;
         const Duration most = mustAsk > Duration::zero() ? std::max(mustAsk, kLeastPeriod) : usual;
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -28,8 +28,8 @@
     // A new process waits so long for the list that its agent has, which counts as told, before it is ready
     // on the one it was given. Longer would be no use: the agent says nothing while discovery is down.
     slipshift::Duration listWait = std::chrono::milliseconds(500);
-    // One that was given an empty list is ready after so long without another: soon what discovery has counts as
-    // told, and a process that never is ready is taken for one that failed.
+    // One that was given an empty list is ready after so long without another: soon what discovery has counts
+    // as told, and a process that never is ready is taken for one that failed.
     slipshift::Duration emptyWait = std::chrono::seconds(5);
     // A connection to a worker carries no next request for so long after an answer: a second one that comes
     // some milliseconds late would be taken for that request's. Seen on played days: up to 4 ms.
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-// Ended before only by a newer call: one that comes up late is a call that is not answered yet. The bound is for
-// the handlers, past the life of any call.
+// Ended before only by a newer call: one that comes up late is a call that is not answered yet. The bound is
+// for the handlers, past the life of any call.
 constexpr Duration kDialLimit = std::chrono::seconds(10);
 constexpr std::size_t kMostWaiting = 2;
 constexpr std::size_t kMostBody = 4 * 1024 * 1024;
@@ -36,8 +36,8 @@
     }
 
     // From the first byte of a list on. A live watch says something every 2 s. One that says nothing may have
-    // been cut off with its changes: another is opened. What a silent one misses counts from its last word, so
-    // its time runs from there.
+    // been cut off with its changes: another is opened. What a silent one misses counts from its last word,
+    // so its time runs from there.
     void listen() {
         listening_ = false;
         if (!answered_) return;
--- a/src/net/discovery_watch.h
+++ b/src/net/discovery_watch.h
@@ -15,8 +15,8 @@
 class WatchConnection;
 
 // A call that is not answered yet stays open while one newer call is made beside it: thrown away, a list that
-// takes long to come would be begun again for ever. The one answered first is the watch, and the other ends; so
-// one connection at a time tells, and no older change comes behind a newer one.
+// takes long to come would be begun again for ever. The one answered first is the watch, and the other ends;
+// so one connection at a time tells, and no older change comes behind a newer one.
 class DiscoveryWatch {
 public:
     using Told = std::function<void(const TargetList&)>;
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -1,5 +1,5 @@
-// How soon a change of the list is known after discovery failed, refused, was silent or slow, and how the calls of
-// a fleet are spread: the moments by arithmetic alone, what becomes of the calls on real sockets.
+// How soon a change of the list is known after discovery failed, refused, was silent or slow, and how the
+// calls of a fleet are spread: the moments by arithmetic alone, what becomes of the calls on real sockets.
 #include <gtest/gtest.h>
 
 #include <deque>
@@ -56,8 +56,8 @@
 constexpr End kEnds[] = {End::refused,    End::notUp,  End::unanswered, End::turnedAway,
                          End::broken,     End::cutAmidList, End::silent};
 
-// When a call is begun that finds discovery well, which could be reached again from `back` on; the call before
-// is begun, or had its last word, at `from`, and every one before `back` ends in the same way.
+// When a call is begun that finds discovery well, which could be reached again from `back` on; the call
+// before is begun, or had its last word, at `from`, and every one before `back` ends in the same way.
 Time callAfter(End end, CallSchedule& schedule, Time from, Time back) {
     Time next{};
     switch (end) {
@@ -74,7 +74,8 @@
     while (next < back) {
         const Time began = next;
         next += schedule.afterBegin(began);
-        const auto ends = [&](Duration later) {  // a call that ends sets the next one, where none was begun since
+        // A call that ends sets the next one, where none was begun since.
+        const auto ends = [&](Duration later) {
             if (began + later < next) next = began + later + schedule.afterEnd(began + later);
         };
         const auto opens = [&](Duration later) {
@@ -117,13 +118,15 @@
                     const bool lateSeen = end == End::silent && down < kMostSilent;
                     const Duration call = lateSeen ? kMostCallAfterSilence : kMostCall;
                     const Duration known = callAfter(end, schedule, from, back) + call - back;
-                    ASSERT_LE(known, kListTerm) << static_cast<int>(end) << " " << self << " " << inSeconds(down);
+                    ASSERT_LE(known, kListTerm)
+                        << static_cast<int>(end) << " " << self << " " << inSeconds(down);
                     worst = std::max(worst, known);
                 }
             }
         }
     }
-    std::cout << "worst: known " << inSeconds(worst) << " s after discovery could be reached, of which the call "
+    std::cout << "worst: known " << inSeconds(worst)
+              << " s after discovery could be reached, of which the call "
               << inSeconds(kMostCall) << " s\n";
     EXPECT_GT(worst, kListTerm - milliseconds(100));  // or it calls more often than it has to
 }
@@ -136,8 +139,8 @@
                 CallSchedule schedule = CallSchedule::pushed(seed);
                 const Duration wait = callAfter(end, schedule, kDay, kDay + down) - kDay - down;
                 // What waits unanswered is answered itself; a new call is made beside it all the same.
-                ASSERT_LE(wait, end == End::unanswered || end == End::silent ? kMostSilent + milliseconds(2)
-                                                                             : kMostDialling + milliseconds(200));
+                const bool waits = end == End::unanswered || end == End::silent;
+                ASSERT_LE(wait, waits ? kMostSilent + milliseconds(2) : kMostDialling + milliseconds(200));
                 if (end == End::refused || end == End::broken) worst = std::max(worst, wait);
             }
         }
@@ -201,8 +204,8 @@
     double latest = 0;  // known so long after discovery could be reached, in seconds
 };
 
-// 300 gatekeepers lose their watches at kDay (`how`: broken, silent, or moved by SIGHUP); discovery can be reached
-// from `down` later. It serves 80 calls a second in turn, 20 wait, and more are turned away.
+// 300 gatekeepers lose their watches at kDay (`how`: broken, silent, or moved by SIGHUP); discovery can be
+// reached from `down` later. It serves 80 calls a second in turn, 20 wait, and more are turned away.
 enum class Loss { broken, unanswered, silent, moved };
 template <class Gatekeeper>
 Spread play(std::vector<Gatekeeper> fleet, Loss how, Duration down) {
@@ -312,8 +315,8 @@
     return json{{"index", index}, {"snapshot", true}, {"endpoints", targets}}.dump();
 }
 
-// A gatekeeper that knows one records server, which holds all it gets, and a second one that only discovery can
-// tell it of.
+// A gatekeeper that knows one records server, which holds all it gets, and a second one that only discovery
+// can tell it of.
 struct Site {
     explicit Site(const std::string& how, Server* discovery = nullptr)
         : gate(Targets{target("held", held)}, settingsOf(how), [&](json& c) {
@@ -470,8 +473,8 @@
     EXPECT_TRUE(next.waitReadable(0));
 }
 
-// Its first byte comes only when one more call has been made: the list that is under way is taken, and the newer
-// call ends.
+// Its first byte comes only when one more call has been made: the list that is under way is taken, and the
+// newer call ends.
 TEST_P(DiscoveryCalls, AListThatTakesLongToBeginIsTakenAtTheStart) {
     Site site(GetParam());
     Socket slow = site.gate.discovery.accept();
@@ -657,8 +660,8 @@
               seconds(6));  // what discovery has counts then
 }
 
-// A watch that had brought something whole and says no more is ended at once: what it may still bring is older
-// than what the next one does.
+// A watch that had brought something whole and says no more is ended at once: what it may still bring is
+// older than what the next one does.
 TEST_P(DiscoveryCalls, AWatchThatFallsSilentEndsBeforeTheNextCall) {
     Site site(GetParam());
     Socket watch = site.gate.discovery.accept();
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -376,8 +376,8 @@
     EXPECT_TRUE(silent.atEnd());
 }
 
-// Discovery that has to be asked is one service for all: one that is turned away at its own moment comes again
-// at the next of these, 4.5 s later. The first call of a process is made at no such moment.
+// Discovery that has to be asked is one service for all: one that is turned away at its own moment comes
+// again at the next of these, 4.5 s later. The first call of a process is made at no such moment.
 TEST(NetDiscovery, WhereItMustBeAskedOneThatTurnsAwayIsLetOff) {
     json s = settings();
     s["discovery"] = "ask";
