Test what comes as a connection is shut or closed

A request that comes with SIGTERM, one behind the end of sending, bytes behind a last request, and what a records server says as its connection is given up: each forced by a gatekeeper that is stopped meanwhile. All three tests passed at their first run; nothing is mended.

--- a/tests/standing_test.cpp
+++ b/tests/standing_test.cpp
@@ -156,6 +156,87 @@
     EXPECT_FALSE(worker.waitReadable(0));
 }
 
+// ---- Bytes that come as a connection is shut or closed --------------------------------------------------
+
+// Found together with SIGTERM, a request on a resting connection is answered; what comes behind the end of
+// sending is not sent on, whether that end followed an answer or a rest.
+TEST(StandingShutdown, ARequestThatComesWithTheSignalIsAnsweredAndOneBehindTheEndIsNotSentOn) {
+    Server worker;
+    Gate gate(Targets{target("w", worker)}, patient(), [](json& c) {
+        c["stillListenMs"] = 3600'000;
+        c["idleStaysMs"] = 1;
+    });
+    Socket used = gate.client(), resting = gate.client();
+    EXPECT_EQ(readiness(used), 200);
+    EXPECT_EQ(readiness(resting), 200);
+    gate.whileStopped([&] {
+        used.write(request("spend", "with", 100'000, "x"));
+        gate.terminate();
+    });
+    Socket link = worker.accept();
+    EXPECT_TRUE(has(link.message(), "Request-Id: with\r\n"));
+    EXPECT_TRUE(resting.atEnd());
+    link.write(ok("served"));
+    const std::string answer = used.message();
+    EXPECT_EQ(statusOf(answer), 200);
+    EXPECT_TRUE(has(answer, "Connection: close"));
+    EXPECT_TRUE(used.atEnd());
+    for (Socket* late : {&used, &resting}) {
+        try {
+            late->write(request("spend", "late", 100'000, "x"));
+        } catch (const std::runtime_error&) {  // it was closed, not only shut
+        }
+    }
+    Socket other = gate.client();
+    other.write(request("spend", "other", 100'000, "x"));
+    EXPECT_TRUE(has(link.message(), "Request-Id: other\r\n"));
+    link.write(ok("served"));
+    EXPECT_EQ(statusOf(other.message()), 200);
+    EXPECT_FALSE(worker.waitReadable(0));
+}
+
+// A last answer is not overtaken by a reset, however much comes that nobody reads any more.
+TEST(StandingShutdown, ALastAnswerArrivesWholeThoughItsClientSendsOn) {
+    Server worker;
+    Gate gate(Targets{target("w", worker)}, patient());
+    Socket client = gate.client();
+    std::string last = request("spend", "r", 100'000, "x");
+    last.insert(last.find("\r\n") + 2, "Connection: close\r\n");
+    client.write(last);
+    Socket link = worker.accept();
+    link.message();
+    const std::string body(60'000, 'b');
+    gate.whileStopped([&] {
+        link.write(ok(body));
+        client.write(std::string(50'000, 'x'));
+    });
+    EXPECT_TRUE(bodyOf(client.message()) == body);
+}
+
+// Half a line, or more than one answer, comes from a records server as its connection is given up.
+TEST(StandingShutdown, WhatARecordsServerSaysAsItsConnectionIsClosedIsNobodysAnswer) {
+    for (const std::string& said : {std::string("HTTP/1.1 200 O"), ok("late")}) {
+        Server worker;
+        Gate gate(Targets{target("w", worker)}, patient());
+        Socket client = gate.client();
+        client.write(request("spend", "gone", 100'000, "x"));
+        Socket link = worker.accept();
+        link.message();
+        gate.whileStopped([&] {
+            client.close();
+            link.write(said);
+        });
+        while (link.readSome()) {
+        }
+        Socket other = gate.client();
+        other.write(request("spend", "other", 100'000, "x"));
+        Socket next = worker.accept();
+        EXPECT_TRUE(has(next.message(), "Request-Id: other\r\n"));
+        next.write(ok("its own"));
+        EXPECT_EQ(bodyOf(other.message()), "its own");
+    }
+}
+
 // ---- Connections that come up late, and windows for repeats ---------------------------------------------
 
 // One attempt at `a` that fails, and a further one whose connection comes up late.
