Wait in a test until what its times are counted from has been read

StandingAhead.TheTimeOfARequest failed once in 12 plays on a busy machine: the gatekeeper had not read the third request yet when the test began to wait. The bound itself stays.

--- a/tests/standing_test.cpp
+++ b/tests/standing_test.cpp
@@ -37,6 +37,8 @@
     EXPECT_TRUE(has(link.message(), "Request-Id: r1"));
     ::poll(nullptr, 0, 600);
     client.write(request("load", "r3", 100'000));
+    Socket probe = gate.client();
+    EXPECT_EQ(readiness(probe), 200);  // r3 has been read by now
     ::poll(nullptr, 0, 600);
     for (const auto& [id, most] : {std::pair("r2", 98'800), std::pair("r3", 99'400)}) {
         link.write(ok("x"));
