Let unasked requests in as others of their plan have room where there is no meter

Ruled out: a silent counter (0.5 to 2 in 100 calls had no answer). The faulty lines: isThin() wants a meter, and both the chance of unasked ones in decide() and the 8 that an add may stand for in on(RequestArrived) hang on it.

Change: the add of a customer seldom seen here stands for up to 8 with or without a meter. Without one an unasked request is let in by 1 less the share of the counter's answers for its plan that leave no room, as far as one too many costs more than it earns. Deployments with a meter are served as before.

The new test lets all in without the change.

--- a/src/gatekeeper.cpp
+++ b/src/gatekeeper.cpp
@@ -28,7 +28,7 @@
 constexpr double kStandFor = 2;    // what the add of a rare customer's request stands for at most, itself in
 constexpr double kAskLeast = 0.1;  // least share of its quota that a customer is taken to ask for
 constexpr double kAskAgain = 0.1;  // share of a slice before which a customer's next answer is worth less
-constexpr double kAskSmooth = 0.02;  // weight of a new sample in the mean worth of an answer
+constexpr double kAskSmooth = 0.02;  // weight of a new answer in their mean worth, and share without room
 constexpr double kReadFrom = 0.5;  // fill of a closed slice from which its sum is read from a crowded counter
 constexpr double kThinShare = 0.1;   // share of a customer's requests under which its own tell nothing of it
 constexpr double kThinStandFor = 8;  // what an add of such a customer stands for at most, itself in
@@ -72,10 +72,6 @@
 constexpr Duration kSubsetAge = std::chrono::seconds(1);     // after which the subset is drawn anew
 constexpr Duration kLongestName = std::chrono::seconds(60);  // the counter keeps no name for longer
 
-bool provesNeverRan(Outcome o) {
-    return o == Outcome::rejected || o == Outcome::connectFailed || o == Outcome::notSent;
-}
-
 }  // namespace
 
 class Gatekeeper::Decisions {
@@ -83,6 +79,7 @@
     Decisions(Settings settings, std::uint64_t seed) : s_(std::move(settings)), random_(seed) {
         if (const auto problem = problemWith(s_)) throw std::invalid_argument(*problem);
         classLatency_.assign(s_.classes.size(), 0);
+        refused_.assign(s_.plans.size(), 0);
         classSamples_.assign(s_.classes.size(), 0);
     }
 
@@ -212,7 +209,7 @@
             r.stoodFor = rare;
             return decide(id, r);
         }
-        if (rare) r.charge = told.units * std::min(isThin(c, *plan) ? kThinStandFor : kStandFor, 1 / ask);
+        if (rare) r.charge = told.units * std::min(isSeldom(c, *plan) ? kThinStandFor : kStandFor, 1 / ask);
         current.asked = true;
         post(c, told.customer, current, id, r.charge);
         // A counter that mostly fails is asked to notice its return, but nobody waits for it.
@@ -339,8 +336,9 @@
     // With many entry points a customer is seen here so seldom that its own requests tell next to nothing of
     // what it asks for in all: the meter in the answers does.
     bool isThin(const Customer& c, const Plan& plan) const {
-        return s_.meterPeriod > Duration{} && shareOf(c, plan) < kThinShare;
+        return s_.meterPeriod > Duration{} && isSeldom(c, plan);
     }
+    bool isSeldom(const Customer& c, const Plan& plan) const { return shareOf(c, plan) < kThinShare; }
 
     // The window test: from the counter's answer where there is one, else from the last known sums and
     // what this gatekeeper's observed share makes of its own traffic since.
@@ -359,9 +357,11 @@
             within = roomOf(id_, plan, *slice, sumOf(c, plan, *slice) - counted) >= units - 1e-6;
             if (r.stoodFor && now_ < c.refusedAt + fromSeconds(sliceOf(plan))) within = false;
             if (r.answered) c.refusedAt = within ? Time{} : now_;
+            double& refused = refused_[static_cast<std::size_t>(c.plan)];
+            if (r.answered) refused = blend(refused, within ? 0 : 1, kAskSmooth);
             if (c.refusedAt == now_) c.use = std::max(c.use, 1.0);
         }
-        if (within && !r.answered && isThin(c, plan)) within = chance() < unaskedShare(c, plan);
+        if (within && !r.answered && isSeldom(c, plan)) within = chance() < unaskedShare(c, plan);
         if (plan.concurrency > 0)
             within = within && c.out < std::max(1.0, std::floor(plan.concurrency * shareOf(c, plan)));
         const bool blind = !r.answered || slice == nullptr;
@@ -384,10 +384,12 @@
         dispatch(id, r);
     }
 
-    // What is let in of such a customer without an answer. The meter shows what was sent on, so one that is
-    // held to its quota reads 1 however much it asks for: where one too many costs, less goes before that.
+    // What is let in unanswered of a customer seldom seen. The meter shows what was sent on: one held to
+    // its quota reads 1, so where one too many costs less goes before that. No meter: as others of its plan.
     double unaskedShare(const Customer& c, const Plan& plan) const {
-        const double full = 1 - kUseMargin * std::clamp(plan.overCost - plan.overWorth, 0.0, 1.0);
+        const double loss = std::clamp(plan.overCost - plan.overWorth, 0.0, 1.0);
+        if (s_.meterPeriod <= Duration{}) return 1 - refused_[static_cast<std::size_t>(c.plan)] * loss;
+        const double full = 1 - kUseMargin * loss;
         return std::pow(std::min(1.0, full / std::max(c.use, 1e-9)), kUsePower);
     }
 
@@ -1045,7 +1047,7 @@
     std::unordered_map<std::uint64_t, Timer> timers_;
     std::uint64_t nextRequest_ = 1, nextTimer_ = 1;
     int sinceSweep_ = 0;
-    std::vector<double> classLatency_;
+    std::vector<double> classLatency_, refused_;  // by class: s; by plan: share of answers that leave no room
     std::vector<int> classSamples_;
     double countShare_ = 1, shareBefore_ = 1;
     double quickest_ = 1;  // the counter's quickest answer, as a part of the time-out
--- a/src/state.h
+++ b/src/state.h
@@ -10,6 +10,11 @@
 
 namespace slipshift {
 
+// What an attempt's end says for certain, by the protocol.
+inline bool provesNeverRan(Outcome o) {
+    return o == Outcome::rejected || o == Outcome::connectFailed || o == Outcome::notSent;
+}
+
 struct Worker {
     WorkerEntry entry;
     bool usable = false;  // listed and not draining
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -605,6 +605,36 @@
     EXPECT_GT(sharedLetIn(1), 0.2);
 }
 
+// Without a meter nothing tells of a customer that comes here seldom: what is let in of such without an answer
+// comes on top of quotas as often as the counter's answers leave others of their plan no room.
+TEST(Counter, WithoutAMeterUnaskedOnesAreLetInAsOthersOfTheirPlanHaveRoom) {
+    const auto letIn = [](bool othersHaveRoom, double overCost) {
+        Settings s = plainSettings();
+        s.gatekeepers = 100;
+        s.plans[0].overCost = overCost;
+        Rig rig(s, 60);
+        rig.counting = false;
+        constexpr CustomerId kOthers = 200, kUnasked = 200;
+        for (CustomerId i = 0; i < kOthers + kUnasked; ++i) {
+            const std::size_t before = rig.sends.size();
+            rig.request(1, 5 + i, milliseconds(2500), 75);
+            while (i < kOthers && !rig.held.empty()) {
+                const AddToCount add = rig.held.front();
+                rig.held.erase(rig.held.begin());
+                rig.feed(CountAnswered{add.name, Outcome::ok, othersHaveRoom ? 2.0 : 100.0, {}});
+            }
+            if (i >= kOthers) rig.failHeldAdds(Outcome::connectFailed);
+            if (rig.sends.size() > before) rig.end(rig.sends.back(), 0, Outcome::ok, true);
+            if (i + 1 == kOthers) rig.sends.clear();
+            rig.advance(milliseconds(50));
+        }
+        return static_cast<double>(rig.sends.size()) / kUnasked;
+    };
+    EXPECT_GT(letIn(true, 1), 0.95);
+    EXPECT_GT(letIn(false, 0), 0.95);  // one too many costs nothing
+    EXPECT_LT(letIn(false, 1), 0.2);
+}
+
 // Plans have slices of their own lengths: one's number says nothing under another plan.
 TEST(Window, ACustomerThatComesUnderAnotherPlanIsServedByThatOnesQuota) {
     Settings s = plainSettings();
