Review: show pending accepts that pile up at the connection limit; replaces case 2

Cause: ClientServer::accept() ends an idle session before it marks an accept as pending; the session's end calls accept() again, so that two accepts start for each connection at the limit. Change: case 2 shows this.

--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,5 +1,7 @@
-// Customers that come just once. Checks that the gateway stays within its memory, as the platform kills it
-// otherwise.
+// Clients that connect by the hundred, say nothing, and come again when they are turned away. Checks that the
+// gateway stays within its memory, as the platform kills it otherwise.
+#include <poll.h>
+
 #include <algorithm>
 #include <atomic>
 #include <csignal>
@@ -15,48 +17,54 @@
 
 using namespace review;
 
-constexpr int kMemoryMb = 64;           // 32 to 192 are allowed
-constexpr double kPerSecond = 4 * 140;  // "up to 140 requests a second", "up to four times as many"
-constexpr double kSeconds = 85;
-constexpr int kConnections = 64;  // fewer than a third of the 256 descriptors
-constexpr std::uint64_t kRegularCustomers = 500;
-constexpr std::uint64_t kFirstCustomer = 1'000'000;
-constexpr double kWorkSeconds = 0.02;  // scaled to the rate
-
-bool answerSoon(RecordsServer&, Socket& socket, const Message& request) {
-    sleepSeconds(kWorkSeconds);
-    const std::string body = RecordsServer::bodyOf(request.header("request-id"));
-    return socket.send("HTTP/1.1 200 OK\r\nX-Settled: 1\r\nContent-Length: " + std::to_string(body.size()) +
-                       "\r\n\r\n" + body);
-}
+constexpr int kMemoryMb = 64;        // 32 to 192 are allowed
+constexpr int kSilentClients = 160;  // "by the hundred"
+constexpr double kQuietSeconds = 3;
+constexpr double kTroubleSeconds = 80;
+constexpr double kRequestsPerSecond = 30;  // of usual clients, at each of two gateways: 61 in all
 
-struct Counts {
-    std::atomic<int> sent{0};
-    std::atomic<int> answered{0};
-    std::atomic<int> unanswered{0};
+struct State {
     std::atomic<bool> isOver{false};
+    std::atomic<long> connections{0};
 };
 
-// One connection, on which one request follows the other. Each comes from a customer that never came before;
-// without the trouble, from one of some hundreds of customers.
-void runClient(int port, int number, Counts& counts) {
-    const double start = elapsed();
-    Socket socket;
-    for (int i = 0; !counts.isOver; ++i) {
-        sleepSeconds(start + (i + static_cast<double>(number) / kConnections) * kConnections / kPerSecond -
-                     elapsed());
-        if (!socket.isOpen()) socket = connectTo(port);
-        const auto ordinal = static_cast<std::uint64_t>(counts.sent++);
-        const Request request =
-            makeRead(kFirstCustomer + (isTroubled() ? ordinal : ordinal % kRegularCustomers), 4500);
-        Message answer;
-        const bool isAnswered = socket.isOpen() && socket.send(request.text) &&
-                                MessageReader(socket).read(answer, request.timeout) == Received::data;
-        ++(isAnswered ? counts.answered : counts.unanswered);
-        if (isAnswered) continue;
-        record("request " + request.id + " got no answer");
-        socket.close();
+// Connects all clients, and each again as soon as the gateway has closed its connection.
+void runSilentClients(int port, State& state) {
+    std::vector<Socket> clients(kSilentClients);
+    std::vector<pollfd> polled(kSilentClients);
+    while (!state.isOver) {
+        for (std::size_t i = 0; i < clients.size(); ++i) {
+            if (!clients[i].isOpen()) {
+                clients[i] = connectTo(port);
+                ++state.connections;
+            }
+            polled[i] = {clients[i].fd(), POLLIN, 0};
+        }
+        ::poll(polled.data(), polled.size(), 10);
+        for (std::size_t i = 0; i < clients.size(); ++i)
+            if (polled[i].revents != 0)
+                clients[i].close();  // the gateway has ended it; there is nothing to read
+    }
+}
+
+// Watches the gateway's memory ten times a second, and kills it as the platform does. Returns whether it did.
+bool watchMemory(GatewayProcess& gateway, State& state, double seconds, double& peak) {
+    const double end = elapsed() + seconds;
+    for (int tick = 0; elapsed() < end && gateway.isRunning(); ++tick) {
+        const double used = gateway.residentMb();
+        peak = std::max(peak, used);
+        if (tick % 20 == 0)
+            record("the gateway uses " + std::to_string(used) + " MB after " +
+                   std::to_string(state.connections) + " connections of silent clients");
+        if (used > kMemoryMb) {
+            record("the platform kills the gateway: it uses " + std::to_string(used) + " MB of " +
+                   std::to_string(kMemoryMb));
+            gateway.signal(SIGKILL);
+            return true;
+        }
+        sleepSeconds(0.1);
     }
+    return false;
 }
 
 }  // namespace
@@ -65,39 +73,34 @@
     openRecord(arguments[1]);
     DeploymentOptions options;
     options.memoryMb = kMemoryMb;
-    options.answer = answerSoon;
     Deployment deployment(options);
     GatewayProcess& gateway = deployment.gateway(0);
-    Counts counts;
-    std::vector<std::thread> clients;
-    for (int i = 0; i < kConnections; ++i)
-        clients.emplace_back([&, i] { runClient(gateway.port(), i, counts); });
-
+    State state;
+    std::vector<Result> results;
+    std::thread usual([&] {
+        UsualClients clients(gateway.port());
+        while (!state.isOver)
+            for (const Result& result : clients.run(kRequestsPerSecond, 1)) results.push_back(result);
+    });
+    sleepSeconds(kQuietSeconds);
+    record("the gateway uses " + std::to_string(gateway.residentMb()) + " MB before the trouble");
+    std::thread silent([&] {
+        if (isTroubled()) runSilentClients(gateway.port(), state);
+    });
     double peak = 0;
-    bool isKilled = false;
-    bool isRunning = true;
-    const double end = elapsed() + kSeconds;
-    for (int tick = 0; elapsed() < end && !isKilled && isRunning; ++tick) {
-        sleepSeconds(0.1);
-        isRunning = gateway.isRunning();
-        const double used = gateway.residentMb();
-        peak = std::max(peak, used);
-        if (tick % 20 == 0)
-            record("the gateway uses " + std::to_string(used) + " MB after " + std::to_string(counts.sent) +
-                   " requests");
-        if (used <= kMemoryMb) continue;
-        record("the platform kills the gateway: it uses " + std::to_string(used) + " MB of " +
-               std::to_string(kMemoryMb));
-        gateway.signal(SIGKILL);
-        isKilled = true;
-    }
-    sleepSeconds(0.5);
-    counts.isOver = true;
-    for (std::thread& client : clients) client.join();
-    char summary[200];
-    std::snprintf(summary, sizeof summary, "%d requests: %d answered, %d not; %.1f of %d MB at most; %s",
-                  counts.sent.load(), counts.answered.load(), counts.unanswered.load(), peak, kMemoryMb,
-                  isKilled ? "killed for memory" : "not killed");
+    const bool isKilled = watchMemory(gateway, state, kTroubleSeconds, peak);
+    sleepSeconds(0.2);
+    const bool isRunning = gateway.isRunning();
+    state.isOver = true;
+    silent.join();
+    usual.join();
+    const auto answered = std::count_if(results.begin(), results.end(),
+                                        [](const Result& result) { return result.status != 0; });
+    char summary[240];
+    std::snprintf(summary, sizeof summary,
+                  "%ld silent connections, %.1f of %d MB at most, %s; %zu usual requests, %ld answered",
+                  state.connections.load(), peak, kMemoryMb, isKilled ? "killed for memory" : "not killed",
+                  results.size(), static_cast<long>(answered));
     record(summary);
     std::puts(summary);
     return isKilled || !isRunning ? 1 : 0;
