--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -17,10 +17,10 @@
 
 using namespace review;
 
-constexpr int kMemoryMb = 64;        // 32 to 192 are allowed
+constexpr int kMemoryMb = 48;        // 32 to 192 are allowed
 constexpr int kSilentClients = 160;  // "by the hundred"
 constexpr double kQuietSeconds = 3;
-constexpr double kTroubleSeconds = 80;
+constexpr double kTroubleSeconds = 90;
 constexpr double kRequestsPerSecond = 30;  // of usual clients, at each of two gateways: 61 in all
 
 struct State {
