Read input in the handler, so that unread input is never overlooked

Callers saw: at the limit of client connections, with the others held by clients that stop in the middle of a request, a new connection's request was read and the connection ended in order without an answer, on the second try as well. Cause: TcpConnection::read() started async_read_some. Asio takes what has arrived at once and queues the handler; until that runs the bytes are neither in input() nor in the kernel, so hasInput() is false. ClientServer::endIdleSession() then took the session just accepted for idle. Change: the connection waits until the socket is readable and reads in the handler. This also holds for the choice of idle connections to endpoints and for idle sessions after SIGTERM, which ask the same functions.

--- a/src/net/transport/tcp_connection.cpp
+++ b/src/net/transport/tcp_connection.cpp
@@ -5,7 +5,6 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
-#include <cstring>
 #include <exception>
 
 namespace gateway::net {
@@ -74,38 +73,37 @@
     error_code ec;
     socket_.set_option(tcp::no_delay(true), ec);
     socket_.non_blocking(true, ec);
-    read();
+    awaitInput();
 }
 
 // ---- Reading --------------------------------------------------------------------------------------
 
-void TcpConnection::read() {
-    if (closed_ || reading_) return;
-    reading_ = true;
-    const bool isDiscarded = discarding_;
-    const auto buffer = isDiscarded ? boost::asio::buffer(discardBuffer) : input_.prepare(kReadBytes);
-    socket_.async_read_some(buffer, [this, isDiscarded, bytes = buffer.data(), self = shared_from_this()](
-                                        const error_code& ec, std::size_t size) {
-        reading_ = false;
+// Waits for input, and takes it from the kernel in the handler. An asynchronous read would take the input
+// some time before its handler runs; until then, neither input() nor peek() would show it.
+void TcpConnection::awaitInput() {
+    if (closed_ || awaitingInput_) return;
+    awaitingInput_ = true;
+    socket_.async_wait(tcp::socket::wait_read, [this, self = shared_from_this()](error_code ec) {
+        awaitingInput_ = false;
         if (closed_) return;
-        if (ec) {
+        if (!ec) runGuarded([&] { ec = read(); });
+        if (ec)
             fail();
-            return;
-        }
-        runGuarded([&] {
-            if (!isDiscarded && !discarding_) appendInput(bytes, size);
-            read();
-        });
+        else
+            awaitInput();
     });
 }
 
-// Appends `size` bytes that were read into the prepared area of the input. If the input was consumed while
-// the read was pending, the area has moved to the beginning of the buffer, and the bytes are copied there.
-void TcpConnection::appendInput(const void* bytes, std::size_t size) {
-    const auto area = input_.prepare(size);
-    if (area.data() != bytes) std::memmove(area.data(), bytes, size);
+// Reads what the kernel has, up to a limit. Returns an error if the connection has ended.
+error_code TcpConnection::read() {
+    const auto buffer = discarding_ ? boost::asio::buffer(discardBuffer) : input_.prepare(kReadBytes);
+    error_code ec;
+    const std::size_t size = socket_.read_some(buffer, ec);
+    if (wouldBlock(ec)) return {};
+    if (ec || discarding_) return ec;
     input_.commit(size);
     onReceived();
+    return {};
 }
 
 void TcpConnection::discardInput() {
--- a/src/net/transport/tcp_connection.h
+++ b/src/net/transport/tcp_connection.h
@@ -117,8 +117,8 @@
 
     PeekResult peek();
     bool openSocket(const tcp::endpoint& peer, const ReclaimDescriptor& reclaimDescriptor);
-    void read();
-    void appendInput(const void* bytes, std::size_t size);
+    void awaitInput();
+    error_code read();
     void awaitWritable();
     void fail();
     template <class Step>
@@ -134,7 +134,7 @@
     bool hasFailedToOpenSocket_ = false;
     bool open_ = false;
     bool closed_ = false;
-    bool reading_ = false;           // a read is pending
+    bool awaitingInput_ = false;     // a wait for input is pending
     bool awaitingWritable_ = false;  // a wait until the socket is writable is pending
     bool discarding_ = false;
 };
--- a/tests/integration/client_limits_test.cpp
+++ b/tests/integration/client_limits_test.cpp
@@ -28,6 +28,29 @@
     EXPECT_TRUE(clients.front().waitForClose());
 }
 
+// Guards against a new connection that is closed, although its request was read, since all others are busy.
+TEST_F(ClientLimitsTest, AnswersRequestOnLastConnectionWhileOthersAreBusy) {
+    constexpr int kMaxClients = 32;
+    options.maxSockets = 2 * kMaxClients;
+    options.timing.requestReadTimeout = std::chrono::hours(1);  // keeps clients that send half a request
+    const GatewayProcess gateway(options);
+    std::list<Socket> busyClients;
+    for (int i = 0; i < kMaxClients - 1; ++i) {
+        busyClients.push_back(gateway.connectClient());
+        expectReady(busyClients.back());
+        busyClients.back().write("GET /load HTTP/1.1\r\nHost:");
+    }
+    Socket client;
+    gateway.whileStopped([&] {
+        client = gateway.connectClient();
+        client.write(safeRequest("r").withoutQuota().text());
+    });
+    Socket connection = endpoint.accept();
+    EXPECT_TRUE(isRequest(connection.receiveMessage(), "r"));
+    connection.write(okResponse("served"));
+    EXPECT_EQ(bodyOf(client.receiveMessage()), "served");
+}
+
 TEST_F(ClientLimitsTest, AnswersIncompleteRequestWith408AndCloses) {
     options.timing.requestReadTimeout = std::chrono::milliseconds(100);
     const GatewayProcess gateway(options);
--- a/tests/net/transport/tcp_connection_test.cpp
+++ b/tests/net/transport/tcp_connection_test.cpp
@@ -21,6 +21,7 @@
 class RecordingConnection final : public TcpConnection {
 public:
     explicit RecordingConnection(boost::asio::io_context& ioContext) : TcpConnection(ioContext) {}
+    explicit RecordingConnection(tcp::socket&& socket) : TcpConnection(std::move(socket)) {}
 
     using TcpConnection::discardFurtherInput;
     using TcpConnection::discardInput;
@@ -32,6 +33,8 @@
         return {static_cast<const char*>(bytes.data()), bytes.size()};
     }
 
+    void consume(std::size_t bytes) { input().consume(bytes); }
+
     std::vector<std::string> calls;
     bool throwsOnReceived = false;
 
@@ -118,6 +121,33 @@
     EXPECT_EQ(connection->received(), "");
 }
 
+// Guards against input that was taken from the kernel before its handler runs, and that no query shows.
+TEST_F(TcpConnectionTest, ShowsInputThatArrivedBeforeStart) {
+    peer.connect(address());
+    write(peer, "x");
+    tcp::socket accepted = accept();
+    while (accepted.available() == 0) {
+    }
+    connection = std::make_shared<RecordingConnection>(std::move(accepted));
+    connection->start();
+    EXPECT_TRUE(connection->hasInput());
+    EXPECT_FALSE(connection->isOpenWithoutInput());
+    runUntil([&] { return !connection->calls.empty(); });
+    EXPECT_EQ(connection->received(), "x");
+}
+
+// The buffer of one read is smaller than what has arrived.
+TEST_F(TcpConnectionTest, ShowsRestOfInputThatExceedsOneRead) {
+    connectAndAccept();
+    const std::string bytes(6000, 'x');
+    write(peer, bytes);
+    runUntil([&] { return !connection->calls.empty(); });
+    const std::string firstPart = connection->received();
+    ASSERT_LT(firstPart.size(), bytes.size());
+    connection->consume(firstPart.size());
+    EXPECT_TRUE(connection->hasInput());
+}
+
 TEST_F(TcpConnectionTest, ReportsInputBeforeClose) {
     connectAndAccept();
     write(peer, "x");
