Keep one wait for clients, and accept in its handler, so that accepts do not pile up

Callers saw: with 160 silent clients that come again when they are closed, a gateway passed 48 MB after some 170,000 connections within 10 s, and the platform killed it with the requests that it had taken. Cause: ClientServer::accept() ended an idle session at the limit before it set isAcceptPrevented_; the session's end calls accept() again by way of onEnded(). Each connection accepted at the limit left one more pending accept, which also took clients over the limit. Change: the server waits until a client is in the backlog, makes room only then and accepts in the handler; one flag says whether a wait is pending. The same change mends a second fault: an asynchronous accept that had taken a client when the listener closed after SIGTERM dropped it; now the client is still in the backlog and is served.

--- a/src/net/client/client_server.cpp
+++ b/src/net/client/client_server.cpp
@@ -1,5 +1,6 @@
 #include "net/client/client_server.h"
 
+#include <boost/asio/error.hpp>
 #include <utility>
 #include <vector>
 
@@ -39,35 +40,37 @@
     acceptor_.listen(kAcceptBacklog);
     acceptor_.non_blocking(true);
     isListening_ = true;
-    accept();
+    awaitClient();
     timers_.schedule(kSweepPeriod, [this] { endStalledSessions(); });
 }
 
-void ClientServer::accept() {
-    if (isAcceptPrevented_ || !isListening_) return;
-    if (sessions_.size() >= limits_.connections) {
-        // Makes room for a new client by ending an idle session. If no session is idle, new clients wait in
-        // the listener's backlog.
-        const bool hasEndedOne = endIdleSession();
-        if (!hasEndedOne) return;
-    }
-    isAcceptPrevented_ = true;
-    acceptor_.async_accept(
-        [this](const error_code& ec, tcp::socket socket) { onAccepted(ec, std::move(socket)); });
+// Waits until a client is in the listener's backlog, and accepts it in the handler. An asynchronous accept
+// would take it from the backlog some time before its handler runs, when the listener may have been closed.
+void ClientServer::awaitClient() {
+    if (isAwaitingClient_ || !isListening_) return;
+    isAwaitingClient_ = true;
+    acceptor_.async_wait(tcp::acceptor::wait_read, [this](const error_code& ec) {
+        isAwaitingClient_ = false;
+        if (!ec && isListening_) acceptClient();
+    });
 }
 
-void ClientServer::onAccepted(const error_code& ec, tcp::socket&& socket) {
-    isAcceptPrevented_ = false;
-    if (!isListening_) return;
-    if (ec) {
+void ClientServer::acceptClient() {
+    // If all connections are taken and no session is idle, clients wait in the listener's backlog.
+    const bool hasRoom = sessions_.size() < limits_.connections || endIdleSession();
+    if (!hasRoom) return;
+    tcp::socket socket(ioContext_);
+    error_code ec;
+    acceptor_.accept(socket, ec);
+    if (!ec) startSession(std::move(socket));
+    const bool hasFailed = ec && ec != boost::asio::error::would_block;
+    if (hasFailed && !endIdleSession()) {
         // Usually the process is out of descriptors or memory. Without the pause, a client in the backlog
         // would cause a busy loop of failing accepts.
-        endIdleSession();
-        timers_.schedule(kAcceptPause, [this] { accept(); });
+        timers_.schedule(kAcceptPause, [this] { awaitClient(); });
         return;
     }
-    startSession(std::move(socket));
-    accept();
+    awaitClient();
 }
 
 void ClientServer::startSession(tcp::socket&& socket) {
@@ -87,21 +90,16 @@
     return false;
 }
 
-// Suppresses accepts while a session ends, and accepts the next client from the event loop. An accept before
-// this function returns would take the descriptor that the caller wants to free.
+// The next client is accepted from the event loop, so it can't take the descriptor before the caller does.
 bool ClientServer::evictIdleClient() {
-    const bool wasPrevented = std::exchange(isAcceptPrevented_, true);
-    const bool evicted = endIdleSession();
-    isAcceptPrevented_ = wasPrevented;
-    if (!wasPrevented) timers_.schedule(Duration::zero(), [this] { accept(); });
-    return evicted;
+    return endIdleSession();
 }
 
 // ---- Sessions -------------------------------------------------------------------------------------
 
 void ClientServer::answer(ClientSession& session, const ClientResponse& response) {
     session.answer(response);
-    accept();  // an earlier accept() may have started no accept because no session was idle
+    awaitClient();  // an earlier client may wait in the backlog because no session was idle
 }
 
 bool ClientServer::endIfDisconnected(ClientSession& session) {
@@ -121,7 +119,7 @@
 void ClientServer::onEnded(ClientSession& session) {
     sessions_.erase(session.position());
     if (isListening_)
-        accept();
+        awaitClient();
     else if (sessions_.empty())
         reportDrained();
 }
--- a/src/net/client/client_server.h
+++ b/src/net/client/client_server.h
@@ -70,8 +70,8 @@
     void onActive(ClientSession& session) override;
     void onEnded(ClientSession& session) override;
 
-    void accept();
-    void onAccepted(const error_code& ec, tcp::socket&& socket);
+    void awaitClient();
+    void acceptClient();
     void startSession(tcp::socket&& socket);
     bool endIdleSession();
     void endStalledSessions();
@@ -87,7 +87,7 @@
     Hooks hooks_;
     tcp::acceptor acceptor_;
     std::list<SessionPtr> sessions_;  // the one that was accepted or read input last at the back
-    bool isAcceptPrevented_ = false;  // an accept is pending, or evictIdleClient() is running
+    bool isAwaitingClient_ = false;   // a wait for a client in the backlog is pending
     bool isDraining_ = false;
     bool isListening_ = false;
     std::function<void()> onDrained_;
