Look for room for waiting clients once a slow reader has its response

Callers could see: at the limit of client connections, a client in the backlog was left there although a session had become idle, until another request was answered or another connection ended. Found by reading. Cause: ClientServer looks for room in answer() and onEnded(). A session whose response the kernel accepts only in part is not idle then; ClientSession::onOutputWritten() told nobody when it became so. Change: ClientSessionObserver::onResponseWritten(), on which the server waits for clients again.

--- a/src/net/client/client_server.cpp
+++ b/src/net/client/client_server.cpp
@@ -116,6 +116,11 @@
     sessions_.splice(sessions_.end(), sessions_, session.position());
 }
 
+// The session may be idle now, so that it can be ended for a client that waits in the backlog.
+void ClientServer::onResponseWritten() {
+    awaitClient();
+}
+
 void ClientServer::onEnded(ClientSession& session) {
     sessions_.erase(session.position());
     if (isListening_)
--- a/src/net/client/client_server.h
+++ b/src/net/client/client_server.h
@@ -68,6 +68,7 @@
     bool startRequest(ClientRequest&& request, const SessionPtr& session) override;
     void onDisconnect(const RequestId& request) override { hooks_.onDisconnect(request); }
     void onActive(ClientSession& session) override;
+    void onResponseWritten() override;
     void onEnded(ClientSession& session) override;
 
     void awaitClient();
--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -84,7 +84,10 @@
 }
 
 void ClientSession::onOutputWritten() {
-    if (isLingering_) shutdownSend();
+    if (isLingering_)
+        shutdownSend();
+    else
+        observer_.onResponseWritten();
 }
 
 void ClientSession::end() {
--- a/src/net/client/client_session.h
+++ b/src/net/client/client_session.h
@@ -36,6 +36,8 @@
     // Called each time before the session reads input: when bytes were received while no request is in
     // flight, and after a response if bytes of the next request had been received.
     virtual void onActive(ClientSession& session) = 0;
+    // Called when a response that the kernel accepted only in part at first was accepted completely.
+    virtual void onResponseWritten() = 0;
     // Called once, when the session has ended.
     virtual void onEnded(ClientSession& session) = 0;
 };
--- a/tests/net/client/client_server_test.cpp
+++ b/tests/net/client/client_server_test.cpp
@@ -101,6 +101,23 @@
     EXPECT_EQ(statusOf(receive(next)), 200);
 }
 
+// Guards against a client that stays in the backlog although a session has become idle: the kernel accepted
+// the rest of its response only after the client had read a part of it.
+TEST_F(ClientServerTest, AcceptsClientOnceSlowReaderHasReceivedItsResponse) {
+    limits.connections = 1;
+    startServer();
+    tcp::socket slowReader = connectBusyClient("r");
+    const std::string body(std::size_t{32} * 1024 * 1024, 'x');  // more than the socket buffers can hold
+    server->answer(*started.front().session, {boost::beast::http::status::ok, {}, "text/plain", body});
+    tcp::socket next = connectClient();
+    write(next, kReadinessRequest);
+    handleReadyEvents();
+    EXPECT_EQ(next.available(), 0U);
+    std::size_t receivedBytes = 0;
+    while (receivedBytes < body.size()) receivedBytes += receive(slowReader).size();
+    EXPECT_EQ(statusOf(receive(next)), 200);
+}
+
 // Guards against a client that is taken from the backlog and dropped, because listening ends at that moment.
 TEST_F(ClientServerTest, ServesAllClientsInBacklogWhenListeningEnds) {
     startServer();
