Spare a new connection for 10 ms before it is closed for the next client

Callers saw: with all other connections held by half requests, a client whose request follows its connection by 2 ms could be reset on both of its connections, and got no answer. Cause: at the limit endIdleSession() takes any idle session; with all others busy that is the one accepted just before, whose request is on its way. Change: for the next client no session is ended that has sent nothing and is younger than 10 ms (Limits::newConnectionGrace). If none is left, a timer looks again.

--- a/src/net/client/client_server.cpp
+++ b/src/net/client/client_server.cpp
@@ -56,9 +56,7 @@
 }
 
 void ClientServer::acceptClient() {
-    // If all connections are taken and no session is idle, clients wait in the listener's backlog.
-    const bool hasRoom = sessions_.size() < limits_.connections || endIdleSession();
-    if (!hasRoom) return;
+    if (!makeRoom()) return;
     tcp::socket socket(ioContext_);
     error_code ec;
     acceptor_.accept(socket, ec);
@@ -67,12 +65,30 @@
     if (hasFailed && !endIdleSession()) {
         // Usually the process is out of descriptors or memory. Without the pause, a client in the backlog
         // would cause a busy loop of failing accepts.
-        timers_.schedule(kAcceptPause, [this] { awaitClient(); });
+        retryAccept(kAcceptPause);
         return;
     }
     awaitClient();
 }
 
+// Returns whether another session may be started. If none may, clients wait in the listener's backlog until a
+// session ends or becomes idle, or a silent new connection is past its grace period.
+bool ClientServer::makeRoom() {
+    if (sessions_.size() < limits_.connections) return true;
+    if (endIdleSession(limits_.newConnectionGrace)) return true;
+    retryAccept(limits_.newConnectionGrace);
+    return false;
+}
+
+void ClientServer::retryAccept(Duration delay) {
+    if (isRetryScheduled_) return;
+    isRetryScheduled_ = true;
+    timers_.schedule(delay, [this] {
+        isRetryScheduled_ = false;
+        awaitClient();
+    });
+}
+
 void ClientServer::startSession(tcp::socket&& socket) {
     const auto session = std::make_shared<ClientSession>(
         std::move(socket), static_cast<ClientSessionObserver&>(*this), timers_, clock_);
@@ -80,9 +96,15 @@
     session->start();
 }
 
-bool ClientServer::endIdleSession() {
+// Ends the idle session that was active longest ago, but no new connection within its grace period. Returns
+// false if there is none.
+bool ClientServer::endIdleSession(Duration newConnectionGrace) {
+    const auto now = steady_clock::now();
     for (const SessionPtr& session : sessions_) {
         if (!session->isIdle() || session->hasInput()) continue;
+        const bool isNew =
+            session->isBeforeFirstResponse() && now - session->lastActiveAt() <= newConnectionGrace;
+        if (isNew) continue;
         const SessionPtr ended = session;  // keeps the session alive, since end() removes it from the list
         ended->end();
         return true;
--- a/src/net/client/client_server.h
+++ b/src/net/client/client_server.h
@@ -24,6 +24,9 @@
         // start of reading it until it is complete.
         Duration requestReadTimeout{};
         Duration responseWriteTimeout = std::chrono::seconds(10);  // for a client to receive a response
+        // Time that a new connection has for the first bytes of its first request, before it may be ended to
+        // make room for another client.
+        Duration newConnectionGrace = std::chrono::milliseconds(10);
     };
     // The functions of ClientSessionObserver that the server delegates to its owner.
     struct Hooks {
@@ -73,8 +76,10 @@
 
     void awaitClient();
     void acceptClient();
+    bool makeRoom();
+    void retryAccept(Duration delay);
     void startSession(tcp::socket&& socket);
-    bool endIdleSession();
+    bool endIdleSession(Duration newConnectionGrace = Duration::zero());
     void endStalledSessions();
     void endIdleSessionsWhileDraining();
     void stopListening();
@@ -89,6 +94,7 @@
     tcp::acceptor acceptor_;
     std::list<SessionPtr> sessions_;  // the one that was accepted or read input last at the back
     bool isAwaitingClient_ = false;   // a wait for a client in the backlog is pending
+    bool isRetryScheduled_ = false;   // of an accept
     bool isDraining_ = false;
     bool isListening_ = false;
     std::function<void()> onDrained_;
--- a/tests/net/client/client_server_test.cpp
+++ b/tests/net/client/client_server_test.cpp
@@ -101,6 +101,38 @@
     EXPECT_EQ(statusOf(receive(next)), 200);
 }
 
+// Guards against a new connection that is closed for the next client before its request has arrived.
+TEST_F(ClientServerTest, SparesNewConnectionUntilItsRequestCanArrive) {
+    limits.connections = 2;
+    limits.newConnectionGrace = std::chrono::hours(1);
+    startServer();
+    const tcp::socket busy = connectBusyClient("busy");
+    tcp::socket fresh = connectClient();
+    handleReadyEvents();
+    tcp::socket next = connectClient();
+    write(next, kReadinessRequest);
+    handleReadyEvents();
+    write(fresh, requestText("fresh"));
+    runUntil([&] { return started.size() == 2; });
+    EXPECT_EQ(started.back().id, RequestId("fresh"));
+    EXPECT_EQ(next.available(), 0U);
+    server->answer(*started.back().session, plainResponse(boost::beast::http::status::ok));
+    EXPECT_EQ(statusOf(receive(next)), 200);
+}
+
+// Guards against a silent connection that keeps others in the backlog: no event ends its grace period.
+TEST_F(ClientServerTest, EndsSilentConnectionAfterGracePeriodForWaitingClient) {
+    limits.connections = 1;
+    limits.newConnectionGrace = std::chrono::milliseconds(50);
+    startServer();
+    tcp::socket silent = connectClient();
+    handleReadyEvents();
+    tcp::socket next = connectClient();
+    write(next, kReadinessRequest);
+    EXPECT_EQ(statusOf(receive(next)), 200);
+    EXPECT_TRUE(isClosedWithoutBytes(silent));
+}
+
 // Guards against a client that stays in the backlog although a session has become idle: the kernel accepted
 // the rest of its response only after the client had read a part of it.
 TEST_F(ClientServerTest, AcceptsClientOnceSlowReaderHasReceivedItsResponse) {
