--- a/src/decision/quota/counter_ledger.cpp
+++ b/src/decision/quota/counter_ledger.cpp
@@ -202,7 +202,8 @@
 }
 
 // With low local traffic, the pending charge, for example a reconciliation, often needs a flush because no
-// call for another request carries it. During congestion, only a sample of these charges is posted.
+// call for another request carries it. A congested counter can't process a call for each of these charges, so
+// only a sample of them is posted.
 bool CounterLedger::shouldSamplePendingCharge(const Tenant& tenant, const WindowSlice& slice) const {
     return sampler_.isCongested() && slice.pendingRefund() == 0 && estimator_.reliesOnMeter(tenant);
 }
--- a/src/decision/quota/usage_estimator.cpp
+++ b/src/decision/quota/usage_estimator.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr double kLowLocalTrafficShare = 0.1;
+// How fast the weight of the estimate falls as the value of an over-quota request exceeds its penalty.
 constexpr double kEstimateWeightPerNetPenalty = 5;
 constexpr double kMinTrafficMultiplier = 0.5;  // of an even share among the tenant's entry points
 
--- a/src/decision/upstream/endpoint_load.cpp
+++ b/src/decision/upstream/endpoint_load.cpp
@@ -9,7 +9,7 @@
 
 constexpr double kReportSmoothing = 0.3;     // weight of a new load report
 constexpr double kSlownessSmoothing = 0.15;  // weight of a new latency sample
-constexpr double kMaxSlowness = 10.0;        // of one sample
+constexpr double kMaxSlowness = 10.0;        // of one sample, in mean latencies of its class
 
 }  // namespace
 
--- a/src/decision/upstream/outlier_detector.cpp
+++ b/src/decision/upstream/outlier_detector.cpp
@@ -15,8 +15,8 @@
 constexpr double kHealthyErrorRate = kEjectionErrorRate / 4;  // a lower one ends a series of ejections
 constexpr Duration kFirstEjection = std::chrono::seconds(1);  // doubles with each consecutive ejection
 constexpr Duration kMaxEjection = std::chrono::seconds(8);
-constexpr int kMaxConsecutiveEjections = 10;
-constexpr double kMaxEjectedShare = 0.5;  // of the usable endpoints
+constexpr int kMaxConsecutiveEjections = 10;  // that are counted
+constexpr double kMaxEjectedShare = 0.5;      // of the usable endpoints
 
 }  // namespace
 
--- a/src/decision/upstream/outlier_detector.h
+++ b/src/decision/upstream/outlier_detector.h
@@ -13,7 +13,7 @@
 class OutlierDetector {
 public:
     // Records the outcome of an attempt. Ignores timeouts and attempts that this gateway cancelled or did not
-    // send.
+    // send, since they are no evidence against the endpoint.
     void observe(Outcome outcome, TimePoint now);
 
     // Whether the endpoint must not receive another attempt now: until the end of the ejection, and then,
--- a/src/decision/upstream/retry_policy.h
+++ b/src/decision/upstream/retry_policy.h
@@ -30,7 +30,7 @@
     Duration maxSendDelay(const Request& request, TimePoint now) const;
 
 private:
-    static constexpr double kMaxTokens = 10;  // retries
+    static constexpr double kMaxTokens = 10;  // retries that can be saved
 
     bool canRetry(const Request& request, TimePoint now) const;
     bool isWithinIdempotencyWindow(const Request& request, TimePoint now) const;
--- a/src/decision/upstream/slow_start_tokens.cpp
+++ b/src/decision/upstream/slow_start_tokens.cpp
@@ -5,7 +5,7 @@
 namespace gateway {
 namespace {
 
-constexpr double kMaxTokens = 1.5;  // of one gateway for one endpoint
+constexpr double kMaxTokens = 1.5;  // that one gateway may save for one endpoint
 
 }  // namespace
 
--- a/src/net/discovery/discovery_schedule.h
+++ b/src/net/discovery/discovery_schedule.h
@@ -46,7 +46,8 @@
 // which replaces the time that was returned before.
 class DiscoverySchedule {
 public:
-    // Returns the schedule for an agent on the same machine, which is called without waiting for a slot.
+    // Returns the schedule for an agent on the same machine, which is called without waiting for a slot:
+    // calls to it cost nothing, and a change counts as known as soon as the agent has it.
     static DiscoverySchedule forPush(std::uint64_t seed);
 
     // Returns the schedule for a service that all gateways poll, which queues their calls. `maxPollInterval`
--- a/src/net/upstream/upstream_connection.cpp
+++ b/src/net/upstream/upstream_connection.cpp
@@ -16,7 +16,8 @@
 namespace {
 
 constexpr int kMaxInterimResponses = 8;  // 1xx responses before a final one
-// Counted from the first bytes of a response. Ends responses that never complete.
+// Counted from the first bytes of a response. Ends responses that never complete: a header may not end, or
+// may announce more bytes than arrive.
 constexpr Duration kMaxResponseReceiveTime = std::chrono::milliseconds(200);
 constexpr std::size_t kTypicalHeaderBytes = 320;
 
@@ -70,7 +71,7 @@
 }
 
 void UpstreamConnection::onReceived() {
-    if (attempt_ == AttemptId::none) {  // the bytes belong to no request
+    if (attempt_ == AttemptId::none) {  // else they would be taken for the next response
         observer_.onUnexpectedInput(self());
         return;
     }
