Reserve the clients' vector in the test of the connection limit

Cause: the linter reports push_back in a loop without it (performance-inefficient-vector-operation); it had not been run on the new test file before. Change: the vector's capacity is reserved; the test's steps and checks are the same.

--- a/tests/net/client/client_server_test.cpp
+++ b/tests/net/client/client_server_test.cpp
@@ -90,8 +90,10 @@
     constexpr int kMaxClients = 4;
     limits.connections = kMaxClients;
     startServer();
+    constexpr int kIdleClients = 5 * kMaxClients;
     std::vector<tcp::socket> clients;
-    for (int i = 0; i < 5 * kMaxClients; ++i) clients.push_back(connectIdleClient());
+    clients.reserve(kIdleClients + kMaxClients);
+    for (int i = 0; i < kIdleClients; ++i) clients.push_back(connectIdleClient());
     for (int i = 0; i < kMaxClients; ++i) clients.push_back(connectBusyClient("r" + std::to_string(i)));
     tcp::socket next = connectClient();
     write(next, kReadinessRequest);
