Force the order of events in the test of a cancelled attempt's response

DiscardsResponseToCancelledAttempt failed 23 of 40 times on arm64 (13 of 20 here). A trace of a failed run shows a fault of the test: the gateway was stopped right after it had written the attempt, before its next epoll_wait. The endpoint's socket was then on the kernel's list of ready sockets already, as writable. The client's close came behind it, and the response joined the earlier entry, so the gateway found the response first: complete, with a client that still waited. It answered, noticed the close, and kept the connection for reuse, which is right. The test waited for the attempt's cancellation.

The test now stops the gateway after it has handled all earlier events, so the close is reported first, as the test means.

--- a/tests/integration/client_disconnect_during_attempt_test.cpp
+++ b/tests/integration/client_disconnect_during_attempt_test.cpp
@@ -251,6 +251,7 @@
         startGateway(withLongDeadlines());
         Socket client = connectClient();
         Socket connection = sendToEndpoint(client, unsafeRequest("gone").withTimeout(kLongTimeout));
+        waitUntilHandled(gateway());  // else the endpoint's socket may be reported first, as it was writable
         gateway().whileStopped([&] {
             client.close();
             connection.write(response);
