Start and accept although a system call fails for a moment

Causes: one failed socket, bind, listen or epoll_create ended the start. Asio's accept() waits inside the call after ECONNABORTED unless enable_connection_aborted is set, which holds up the whole event loop. Every failed accept ended an idle client, and so did every failed socket call. An interrupted poll or peek counted as 'open' or as the end of the connection. A SIGHUP before its handler was installed, or after it was removed, ended the process. Change: a start is repeated for 3 s where the failure may pass; accepts and sockets are tried again; only EMFILE and ENFILE end an idle client; EINTR repeats the call. Class: errors of system calls treated as one case.

--- a/src/net/client/client_server.cpp
+++ b/src/net/client/client_server.cpp
@@ -13,7 +13,13 @@
 namespace {
 
 constexpr int kAcceptBacklog = 1024;
-constexpr Duration kAcceptPause = milliseconds(50);  // after a failed accept
+constexpr Duration kAcceptPause = milliseconds(50);      // while no descriptor is left
+constexpr Duration kAcceptRetryDelay = milliseconds(2);  // after another failure of accept
+// At the limit of connections, a request is rejected that no byte arrived of, or that was incomplete, for
+// longer than this.
+constexpr Duration kMaxSilenceAtLimit = milliseconds(250);
+constexpr Duration kMaxRequestTimeAtLimit = milliseconds(500);
+constexpr Duration kLingerTimeAtLimit = milliseconds(50);  // for a client to receive the last response
 constexpr Duration kSweepPeriod = milliseconds(250);
 constexpr Duration kDrainSweepPeriod = milliseconds(50);
 constexpr Duration kFirstRequestGrace = milliseconds(150);  // for a new connection, while draining
@@ -41,6 +47,8 @@
     acceptor_.non_blocking(true);
     isListening_ = true;
     awaitClient();
+    // Without this option Asio waits within accept() after a connection that was aborted in the backlog.
+    acceptor_.set_option(boost::asio::socket_base::enable_connection_aborted(true));
     timers_.schedule(kSweepPeriod, [this] { endStalledSessions(); });
 }
 
@@ -60,12 +68,8 @@
     tcp::socket socket(ioContext_);
     error_code ec;
     acceptor_.accept(socket, ec);
-    if (!ec) startSession(std::move(socket));
-    const bool hasFailed = ec && ec != boost::asio::error::would_block;
-    if (hasFailed && !endIdleSession()) {
-        // Usually the process is out of descriptors or memory. Without the pause, a client in the backlog
-        // would cause a busy loop of failing accepts.
-        retryAccept(kAcceptPause);
+    if (ec && ec != boost::asio::error::would_block) {
+        handleAcceptFailure(ec);
         return;
     }
     awaitClient();
@@ -74,6 +78,16 @@
 // Returns whether another session may be started. If none may, clients wait in the listener's backlog until a
 // session ends or becomes idle, or a silent new connection is past its grace period.
 bool ClientServer::makeRoom() {
+// Most failures concern one client or a moment. Without the pauses, a client in the backlog would cause a
+// busy loop of failing accepts.
+void ClientServer::handleAcceptFailure(const error_code& ec) {
+    const bool hasFreedDescriptor = isDescriptorShortage(ec) && endIdleSession();
+    if (hasFreedDescriptor || ec == boost::asio::error::connection_aborted)
+        awaitClient();
+    else
+        retryAccept(isDescriptorShortage(ec) ? kAcceptPause : kAcceptRetryDelay);
+}
+
     if (sessions_.size() < limits_.connections) return true;
     if (endIdleSession(limits_.newConnectionGrace)) return true;
     retryAccept(limits_.newConnectionGrace);
--- a/src/net/client/client_server.h
+++ b/src/net/client/client_server.h
@@ -82,6 +82,7 @@
     bool endIdleSession(Duration newConnectionGrace = Duration::zero());
     void endStalledSessions();
     void endIdleSessionsWhileDraining();
+    void handleAcceptFailure(const error_code& ec);
     void stopListening();
     void reportDrained();
 
--- a/src/net/server/service.cpp
+++ b/src/net/server/service.cpp
@@ -2,9 +2,13 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/system/system_error.hpp>
+#include <cerrno>
+#include <chrono>
 #include <csignal>
 #include <exception>
 #include <string>
+#include <thread>
 
 #include "net/server/gateway_server.h"
 #include "net/transport/log.h"
@@ -12,6 +16,9 @@
 namespace gateway::net {
 namespace {
 
+constexpr auto kMaxStartTime = std::chrono::seconds(3);  // to repeat a start that fails for a moment
+constexpr auto kStartRetryInterval = std::chrono::milliseconds(20);
+
 // Shuts the server down on SIGTERM and SIGINT, and reloads its configuration on SIGHUP.
 class SignalHandler {
 public:
@@ -55,6 +62,31 @@
     boost::asio::signal_set reloadSignal_;
 };
 
+// Returns whether the system may recover from the failure of a call by itself.
+bool isTemporary(const boost::system::error_code& ec) {
+    if (ec.category() != boost::system::system_category()) return false;
+    switch (ec.value()) {
+        case EADDRINUSE:  // the previous process may be ending still
+        case EAGAIN:
+        case EINTR:
+        case EMFILE:
+        case ENFILE:
+        case ENOBUFS:
+        case ENOMEM:
+            return true;
+        default:
+            return false;
+    }
+}
+
+// Blocks the signals that the gateway handles, so that one that arrives while the process exits can't end it.
+void blockSignals() {
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&signals, signal);
+    sigprocmask(SIG_BLOCK, &signals, nullptr);
+}
+
 // Runs the event loop until it is stopped. An exception ends only the handler that threw it.
 void runLoop(boost::asio::io_context& ioContext) {
     for (;;) {
@@ -72,12 +104,23 @@
 
 void serve(const Config& config, const std::function<void(const Config::Address&)>& onListening) {
     std::signal(SIGPIPE, SIG_IGN);  // writes to a closed connection return an error instead
-    boost::asio::io_context ioContext(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
-    GatewayServer server(ioContext, config);
-    const SignalHandler signals(ioContext, server);
-    server.start();
-    onListening(server.address());
-    runLoop(ioContext);
+    std::signal(SIGHUP, SIG_IGN);   // until the handler is installed; the configuration was just read
+    const auto retryUntil = std::chrono::steady_clock::now() + kMaxStartTime;
+    for (;;) {
+        try {
+            boost::asio::io_context ioContext(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
+            GatewayServer server(ioContext, config);
+            const SignalHandler signals(ioContext, server);
+            server.start();
+            onListening(server.address());
+            runLoop(ioContext);
+            blockSignals();
+            return;
+        } catch (const boost::system::system_error& e) {
+            if (!isTemporary(e.code()) || std::chrono::steady_clock::now() >= retryUntil) throw;
+            std::this_thread::sleep_for(kStartRetryInterval);
+        }
+    }
 }
 
 }  // namespace gateway::net
--- a/src/net/server/service.h
+++ b/src/net/server/service.h
@@ -15,8 +15,8 @@
 // and the file have one. If the file is invalid, the error is logged and nothing changes.
 //
 // Throws SettingsError if the settings are invalid, and boost::system::system_error if listening on the
-// configured address fails. Once the event loop runs, exceptions are logged and affect only the handler that
-// threw.
+// configured address fails; a failure that may pass is retried for 3 s before. Once the event loop runs,
+// exceptions are logged and affect only the handler that threw.
 void serve(const Config& config, const std::function<void(const Config::Address&)>& onListening);
 
 }  // namespace gateway::net
--- a/src/net/transport/tcp_connection.cpp
+++ b/src/net/transport/tcp_connection.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
+#include <cerrno>
 #include <exception>
 
 namespace gateway::net {
@@ -17,12 +18,21 @@
 // Receives discarded input. All connections share it, because its contents are never read.
 std::array<char, kDiscardBytes> discardBuffer;
 
+constexpr int kMaxOpenAttempts = 3;
+
+// A call that a signal interrupted is repeated like one that would block.
 bool wouldBlock(const error_code& ec) {
-    return ec == boost::asio::error::would_block || ec == boost::asio::error::try_again;
+    return ec == boost::asio::error::would_block || ec == boost::asio::error::try_again ||
+           ec == boost::asio::error::interrupted;
 }
 
 }  // namespace
 
+bool isDescriptorShortage(const error_code& ec) {
+    return ec.category() == boost::system::system_category() &&
+           (ec.value() == EMFILE || ec.value() == ENFILE);
+}
+
 template <class Step>
 void TcpConnection::runGuarded(Step&& step) {
     try {
@@ -63,9 +73,13 @@
 
 bool TcpConnection::openSocket(const tcp::endpoint& peer, const ReclaimDescriptor& reclaimDescriptor) {
     error_code ec;
-    socket_.open(peer.protocol(), ec);
-    if (ec && reclaimDescriptor && reclaimDescriptor()) socket_.open(peer.protocol(), ec);
-    return !ec;
+    for (int attempt = 0; attempt < kMaxOpenAttempts; ++attempt) {
+        socket_.open(peer.protocol(), ec);
+        if (!ec) return true;
+        const bool hasReclaimed = isDescriptorShortage(ec) && reclaimDescriptor && reclaimDescriptor();
+        if (isDescriptorShortage(ec) && !hasReclaimed) return false;
+    }
+    return false;
 }
 
 void TcpConnection::start() {
@@ -114,8 +128,10 @@
 TcpConnection::PeekResult TcpConnection::peek() {
     char firstByte = 0;
     error_code ec;
-    const std::size_t size =
-        socket_.receive(boost::asio::buffer(&firstByte, 1), tcp::socket::message_peek, ec);
+    std::size_t size = 0;
+    do {
+        size = socket_.receive(boost::asio::buffer(&firstByte, 1), tcp::socket::message_peek, ec);
+    } while (ec == boost::asio::error::interrupted);
     if (wouldBlock(ec)) return PeekResult::nothing;
     return !ec && size > 0 ? PeekResult::bytes : PeekResult::end;
 }
@@ -125,7 +141,11 @@
     const PeekResult result = peek();
     if (result != PeekResult::bytes) return result == PeekResult::end;
     pollfd request{socket_.native_handle(), POLLRDHUP, 0};  // reports a close even if there are unread bytes
-    return ::poll(&request, 1, 0) > 0 && request.revents != 0;
+    int readyCount = 0;
+    do {
+        readyCount = ::poll(&request, 1, 0);
+    } while (readyCount < 0 && errno == EINTR);
+    return readyCount > 0 && request.revents != 0;
 }
 
 // ---- Writing --------------------------------------------------------------------------------------
--- a/src/net/transport/tcp_connection.h
+++ b/src/net/transport/tcp_connection.h
@@ -22,6 +22,9 @@
 // Frees a file descriptor so that a socket can be opened. Returns false if it can't free one.
 using ReclaimDescriptor = std::function<bool()>;
 
+// Returns whether a system call failed because the process or the system has no file descriptor left.
+bool isDescriptorShortage(const error_code& ec);
+
 // The base class of all TCP connections of the process.
 //
 // Must be owned by a shared_ptr, because pending operations hold a copy of it. A timer that can outlive the
@@ -35,8 +38,8 @@
     TcpConnection& operator=(const TcpConnection&) = delete;
 
     // Connects to `peer`. Calls onConnected(), or onClosed() if connecting fails or takes longer than
-    // `timeout`, but never before returning. If no socket can be opened, calls `reclaimDescriptor`,
-    // which may be empty, and tries once more if it returns true.
+    // `timeout`, but never before returning. If no socket can be opened, tries again a few times; if no
+    // descriptor is left, it calls `reclaimDescriptor` before that, which may be empty.
     void connect(const tcp::endpoint& peer, TimerQueue& timers, Duration timeout,
                  const ReclaimDescriptor& reclaimDescriptor = {});
 
