Fail a request that may have run and is sent again with the same id

Cause: the registry freed the id when the cancelled attempt had ended, and nothing remembered that it may have run. Change: the decision engine keeps a hash of the ids of such requests for 30 s, or twice the longest deadline, and fails a repeat (502). Safe requests, and keyed ones that every endpoint recognizes, are forwarded as before. The number of ids is limited by memory_mb; the oldest is forgotten first. Class: state that ends with a connection although the effect outlives it.

--- a/include/gateway/settings.h
+++ b/include/gateway/settings.h
@@ -1,6 +1,8 @@
 // The settings of a decision engine. src/settings/settings_json.h reads them from JSON.
 #pragma once
 
+#include <cstddef>
+#include <limits>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -95,6 +97,9 @@
     Duration slowStartDuration{};      // time until it has its full capacity; 0: no slow start
     double overloadMultiple = 1;  // multiple of its capacity above which an endpoint fails while warming up
     Duration overloadWindow{};    // duration of the excess after which it fails
+    std::size_t maxTenants = std::numeric_limits<std::size_t>::max();  // whose state is kept
+    // Requests that must not be repeated and may have been executed, whose ids are remembered.
+    std::size_t maxExecutedRequests = 16384;
     double crossZonePenalty = 0;  // once per request with an attempt in another zone; not used by the engine
 };
 
--- a/src/decision/engine/request_lifecycle.cpp
+++ b/src/decision/engine/request_lifecycle.cpp
@@ -1,6 +1,7 @@
 #include "decision/engine/request_lifecycle.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cstddef>
 
 #include "decision/common/arithmetic.h"
@@ -15,12 +16,24 @@
 // expected response time.
 constexpr double kMinRemainingTimeShare = 0.3;
 
+// How long a client may send a request again, with the same id, on another connection.
+constexpr Duration kMinExecutedRetention = std::chrono::seconds(30);
+constexpr int kExecutedRetentionDeadlines = 2;
+
+Duration executedRetention(const Settings& settings) {
+    Duration retention = kMinExecutedRetention;
+    for (const RequestClass& requestClass : settings.classes)
+        retention = std::max(retention, kExecutedRetentionDeadlines * requestClass.deadline);
+    return retention;
+}
+
 }  // namespace
 
 RequestLifecycle::RequestLifecycle(const Settings& settings, RequestTable& requests, const Quota& quota,
                                    const Upstream& upstream)
     : settings_(settings),
       requests_(requests),
+      executedRequests_(executedRetention(settings), settings.maxExecutedRequests),
       tenants_(quota.tenants),
       ledger_(quota.ledger),
       admission_(quota.admission),
@@ -31,6 +44,10 @@
 // ---- Admission ------------------------------------------------------------------------------------
 
 void RequestLifecycle::onRequestArrived(EventContext& context, const RequestArrived& arrival) {
+    if (executedRequests_.contains(arrival.request, context.now)) {
+        context.emit(FailRequest{arrival.request});
+        return;
+    }
     Request& request = requests_.add(arrival, context.now);
     // A request without enough time is answered without a call to the counter: the reply would be too late.
     if (!hasTimeToBeServed(request, context.now)) {
@@ -123,6 +140,7 @@
     recordReportedUsage(context, *request, ended, tenant);
     if (ended.requestClosed) request->closed = true;
 
+    recordWhetherExecuted(*request, context.now);
     if (!request->closed && retryPolicy_.tryAcquireRetry(*request, context.now)) {
         forward(context, *request);
         return;
@@ -139,6 +157,11 @@
 // connect counts as sent as well.
 void RequestLifecycle::recordWhetherSent(Request& request, Outcome outcome) const {
     const QuotaPlan* plan = planOf(request);
+void RequestLifecycle::recordWhetherExecuted(const Request& request, TimePoint now) {
+    if (!request.possibleExecution || retryPolicy_.isClientRetrySafe(request, now)) return;
+    executedRequests_.add(request.arrival.request, now);
+}
+
     const bool hasCeiling = plan != nullptr && plan->ceilingRate > 0;
     const bool isUnchargedConnectFailure = outcome == Outcome::connectFailed && !hasCeiling;
     if (outcome != Outcome::notSent && !isUnchargedConnectFailure) request.countsAsSent = true;
--- a/src/decision/engine/request_lifecycle.h
+++ b/src/decision/engine/request_lifecycle.h
@@ -7,6 +7,7 @@
 
 #include "decision/engine/attempt_dispatcher.h"
 #include "decision/engine/event_context.h"
+#include "decision/engine/executed_requests.h"
 #include "decision/engine/request_table.h"
 #include "decision/quota/counter_ledger.h"
 #include "decision/quota/quota_admission.h"
@@ -37,7 +38,8 @@
     RequestLifecycle(const Settings& settings, RequestTable& requests, const Quota& quota,
                      const Upstream& upstream);
 
-    // Forwards the request, rejects it, or lets it wait for the counter's replies.
+    // Forwards the request, rejects it, or lets it wait for the counter's replies. Fails a request that was
+    // sent before and may have been executed, if it must not be repeated.
     void onRequestArrived(EventContext& context, const RequestArrived& arrival);
 
     // Decides on the admission of the requests that waited for the counter's replies.
@@ -65,6 +67,7 @@
     void forward(EventContext& context, Request& request);
     void cancelAttempts(EventContext& context, const Request& request) const;
     void refundUndecided(EventContext& context, Request& request);
+    void recordWhetherExecuted(const Request& request, TimePoint now);
     void recordWhetherSent(Request& request, Outcome outcome) const;
     void recordReportedUsage(EventContext& context, Request& request, const AttemptEnded& ended,
                              Tenant* tenant);
@@ -78,6 +81,7 @@
 
     const Settings& settings_;
     RequestTable& requests_;
+    ExecutedRequests executedRequests_;
     TenantTable& tenants_;
     CounterLedger& ledger_;
     QuotaAdmission& admission_;
--- a/src/net/config/config.cpp
+++ b/src/net/config/config.cpp
@@ -12,6 +12,15 @@
 
 constexpr int kDefaultDescriptorLimit = 1024;
 constexpr int kMinDescriptorLimit = 64;
+constexpr double kDefaultMemoryMegabytes = 1024;
+constexpr double kMinMemoryMegabytes = 16;
+constexpr double kBytesPerMegabyte = 1024.0 * 1024.0;
+
+// Shares of the memory limit for tables, and the approximate size of their entries.
+constexpr std::size_t kTenantsMemoryPercent = 10;
+constexpr std::size_t kExecutedRequestsMemoryPercent = 4;
+constexpr std::size_t kBytesPerTenant = 1024;
+constexpr std::size_t kBytesPerExecutedRequest = 64;
 constexpr double kDefaultKeepAliveSeconds = 15;
 constexpr int kHexBase = 16;
 
@@ -55,7 +64,16 @@
     if (fields.has("counter")) config.counter = parseAddress(fields.text("counter"), "config.counter");
 }
 
-void readLimits(const Fields& fields, Config& config) {
+void readMemoryLimit(const Fields& fields, Config& config) {
+    const double megabytes = fields.has("limits")
+                                 ? fields.object("limits").number("memory_mb", kDefaultMemoryMegabytes)
+                                 : kDefaultMemoryMegabytes;
+    if (megabytes < kMinMemoryMegabytes)
+        fields.throwError("limits.memory_mb", "must be 16 or more, found " + std::to_string(megabytes));
+    config.maxMemoryBytes = static_cast<std::size_t>(megabytes * kBytesPerMegabyte);
+}
+
+void readDescriptorLimit(const Fields& fields, Config& config) {
     if (!fields.has("limits")) return;
     const int maxDescriptors = fields.object("limits").integer("sockets", kDefaultDescriptorLimit);
     if (maxDescriptors < kMinDescriptorLimit)
@@ -66,6 +84,9 @@
 void readGatewaySettings(const Fields& fields, Config& config) {
     const Fields settings = fields.object("settings");
     config.settings = readSettings(settings);
+    config.settings.maxTenants = config.maxMemoryBytes / 100 * kTenantsMemoryPercent / kBytesPerTenant;
+    config.settings.maxExecutedRequests =
+        config.maxMemoryBytes / 100 * kExecutedRequestsMemoryPercent / kBytesPerExecutedRequest;
     if (config.settings.counterEnabled && !config.counter)
         fields.throwError("counter", "is missing, but settings.domain.mayCount is true");
     settings.forEach("classes", [&](const Fields& item) { config.classNames.push_back(item.text("name")); });
--- a/src/net/config/config.h
+++ b/src/net/config/config.h
@@ -51,6 +51,7 @@
     std::optional<Address> counter;     // always set if Settings::counterEnabled
     std::uint64_t seed = 0;             // of the random number generators
     std::size_t maxDescriptors = 1024;  // file descriptors that the process may hold
+    std::size_t maxMemoryBytes = 0;     // memory that the process may use
     Settings settings;
     std::vector<std::string> classNames;  // in the order of Settings::classes
     std::vector<std::string> planNames;   // in the order of Settings::plans
