Remember the zone and cell of an endpoint when an attempt is sent

A keyed retry must reach the cell or zone of the first attempt that may have run. These were read from the endpoint's entry when the attempt ended. If a new process came under the name meanwhile, in another cell, the retry went there, and the request could run twice. They are now kept with the attempt.

--- a/src/decision/engine/attempt_dispatcher.cpp
+++ b/src/decision/engine/attempt_dispatcher.cpp
@@ -25,7 +25,7 @@
 
     Endpoint& endpoint = endpoints_.at(*slot);
     if (request.attempts.empty()) retryPolicy_.recordFirstAttempt();
-    request.attempts.push_back({*slot, context.now, false});
+    request.attempts.push_back({*slot, context.now, false, endpoint.entry().zone, endpoint.entry().cell});
     limiter_.beginAttempt();
     endpoint.beginAttempt(work);
     const Duration maxSendDelay = retryPolicy_.maxSendDelay(request, context.now);
@@ -41,8 +41,7 @@
     endpoint.endAttempt();
     observe(request, ended, endpoint, now);
     if (!provesNotExecuted(ended.outcome) && !request.possibleExecution)
-        request.possibleExecution =
-            PossibleExecution{endpoint.entry().zone, endpoint.entry().cell, attempt.sentAt};
+        request.possibleExecution = PossibleExecution{attempt.zone, attempt.cell, attempt.sentAt};
 }
 
 void AttemptDispatcher::observe(const Request& request, const AttemptEnded& ended, Endpoint& endpoint,
--- a/src/decision/engine/request.h
+++ b/src/decision/engine/request.h
@@ -19,6 +19,9 @@
     std::size_t endpointSlot = 0;  // in the endpoint set
     TimePoint sentAt{};
     bool ended = false;
+    // Of the endpoint when the attempt was sent. A later process under the same name may have others.
+    ZoneId zone{};
+    CellId cell{};
 };
 
 // The earliest attempt that its endpoint may have executed. A retry with an idempotency key must reach an
