Send nothing to a process that took the address of another endpoint

What callers saw: work reached a new process because it was meant for the old one at its address. Causes: discovery can list an old process, in service or draining, beside the new one at its address; both stayed usable. An attempt that was still connecting when its endpoint was replaced was sent to whoever had accepted it. An endpoint whose start time changed to 0, which means long ago, counted as replaced. Change: AddressOwners removes the endpoint whose address a later process has, at once and without the drain grace period; a replaced endpoint gets a new object, and attempts on the old one are not sent any more. Endpoints with equal start times are not told apart.

--- a/src/net/discovery/endpoint_list.h
+++ b/src/net/discovery/endpoint_list.h
@@ -16,6 +16,7 @@
 struct ResolvedEndpoint {
     EndpointEntry entry;
     boost::asio::ip::tcp::endpoint address;  // port 0: no address was given, as for a removed endpoint
+    bool isReplaced = false;  // a process that started later has its address: see AddressOwners
 };
 
 // One document: all endpoints, or those that have changed since the previous version.
--- a/src/net/server/gateway_server.cpp
+++ b/src/net/server/gateway_server.cpp
@@ -145,7 +145,8 @@
 
 // ---- Network events -------------------------------------------------------------------------------
 
-void GatewayServer::handleEndpointList(const EndpointList& list, UpdateKind kind) {
+void GatewayServer::handleEndpointList(EndpointList list, UpdateKind kind) {
+    addressOwners_.removeReplaced(list);
     readiness_.recordEndpointList(kind, list.endpoints.empty());
     upstreamClient_.update(list);
     EndpointUpdate update;
--- a/src/net/server/gateway_server.h
+++ b/src/net/server/gateway_server.h
@@ -12,6 +12,7 @@
 #include "net/client/client_server.h"
 #include "net/config/config.h"
 #include "net/counter/counter_client.h"
+#include "net/discovery/address_owners.h"
 #include "net/discovery/discovery_client.h"
 #include "net/server/event_dispatcher.h"
 #include "net/server/graceful_shutdown.h"
@@ -59,7 +60,7 @@
     ClientServer::Hooks clientHooks();
     GracefulShutdown::Hooks shutdownHooks();
 
-    void handleEndpointList(const EndpointList& list, UpdateKind kind);
+    void handleEndpointList(EndpointList list, UpdateKind kind);
     bool handleRequest(ClientRequest&& request, const std::shared_ptr<ClientSession>& client);
     void handleDisconnect(const RequestId& id);
     void handleAttemptEnded(AttemptId id, AttemptResult&& result);
@@ -86,6 +87,7 @@
     RequestRegistry requests_;
     EventDispatcher dispatcher_;
     Readiness readiness_;
+    AddressOwners addressOwners_;
     UpstreamClient upstreamClient_;
     std::optional<CounterClient> counter_;  // absent if none is configured
     ClientServer clientServer_;
--- a/src/net/upstream/upstream_endpoint.cpp
+++ b/src/net/upstream/upstream_endpoint.cpp
@@ -5,7 +5,8 @@
 namespace gateway::net {
 
 bool UpstreamEndpoint::isReplacedBy(const ResolvedEndpoint& listed) const {
-    return listed.entry.startedAt != startedAt_ || listed.address != address_;
+    const bool hasMoved = address_.port() != 0 && listed.address.port() != 0 && listed.address != address_;
+    return listed.entry.startedAt > startedAt_ || hasMoved;
 }
 
 void UpstreamEndpoint::update(const ResolvedEndpoint& listed) {
@@ -18,6 +19,7 @@
 }
 
 bool UpstreamEndpoint::acceptsAttempts(SteadyTimePoint now, Duration drainGracePeriod) const {
+    if (isReplaced_) return false;
     return !isDraining() || now - drainingSince_ < drainGracePeriod;
 }
 
--- a/src/net/upstream/upstream_endpoint.h
+++ b/src/net/upstream/upstream_endpoint.h
@@ -10,7 +10,8 @@
 namespace gateway::net {
 
 // Shared by the endpoint table and the attempts on the endpoint, which may go on after discovery has removed
-// it. A removed endpoint stays draining: if discovery lists its name again, the table creates a new object.
+// it. A removed or replaced endpoint stays draining: if discovery lists its name again, the table creates a
+// new object.
 class UpstreamEndpoint {
 public:
     explicit UpstreamEndpoint(EndpointId id) : id_(std::move(id)) {}
@@ -18,7 +19,7 @@
     const EndpointId& id() const { return id_; }
     const boost::asio::ip::tcp::endpoint& address() const { return address_; }
 
-    // Returns whether `listed` is another process: its start time or its address differs.
+    // Returns whether `listed` is another process: it started later, or its address differs.
     bool isReplacedBy(const ResolvedEndpoint& listed) const;
 
     // Copies the start time, and the address if `listed` has one. Does not change the draining state.
@@ -29,10 +30,13 @@
     // Has no effect if the endpoint is already draining.
     void startDraining(SteadyTimePoint now);
 
-    bool isDraining() const { return drainingSince_ != kNotDraining; }
+    // Records that another process has the endpoint's name or address by now.
+    void markReplaced() { isReplaced_ = true; }
+
+    bool isDraining() const { return isReplaced_ || drainingSince_ != kNotDraining; }
 
     // Returns whether sending an attempt may begin at `now`. A draining endpoint accepts attempts for
-    // `drainGracePeriod` after it started draining.
+    // `drainGracePeriod` after it started draining, unless it was replaced.
     bool acceptsAttempts(SteadyTimePoint now, Duration drainGracePeriod) const;
 
     void recordResponse(SteadyTimePoint now) { lastResponseAt_ = now; }
@@ -47,6 +51,7 @@
     boost::asio::ip::tcp::endpoint address_;
     TimePoint startedAt_{};
     SteadyTimePoint drainingSince_ = kNotDraining;
+    bool isReplaced_ = false;
     SteadyTimePoint lastResponseAt_{};
 };
 
--- a/src/net/upstream/upstream_endpoint_table.cpp
+++ b/src/net/upstream/upstream_endpoint_table.cpp
@@ -32,13 +32,18 @@
 void UpstreamEndpointTable::updateEndpoint(const ResolvedEndpoint& listed) {
     const EndpointEntry& entry = listed.entry;
     if (entry.availability == Availability::removed) {
+        if (const auto known = find(entry.id); known && listed.isReplaced) known->markReplaced();
         remove(entry.id);
         return;
     }
     std::shared_ptr<UpstreamEndpoint>& endpoint = endpoints_[entry.id];
+    if (endpoint && endpoint->isReplacedBy(listed)) {
+        // Attempts that are still connecting must not reach another process.
+        endpoint->markReplaced();
+        closeIdleConnections_(*endpoint);
+        endpoint = nullptr;
+    }
     if (!endpoint) endpoint = std::make_shared<UpstreamEndpoint>(entry.id);
-    // A restarted process has lost the connections of the previous one.
-    if (endpoint->isReplacedBy(listed)) closeIdleConnections_(*endpoint);
     if (entry.availability == Availability::up)
         endpoint->stopDraining();
     else
--- a/tests/support/gateway_options.cpp
+++ b/tests/support/gateway_options.cpp
@@ -18,7 +18,7 @@
                {"group", 0},
                {"status", endpoint.status},
                {"weight", 1},
-               {"since_ms", 0}};
+               {"since_ms", endpoint.startedAtMs}};
     if (!endpoint.note.empty()) entry["note"] = endpoint.note;
     return entry;
 }
@@ -157,7 +157,7 @@
                 {"listen", "127.0.0.1:0"},
                 {"discovery", options.discovery},
                 {"seed", "8c1f30d27a5be964"},
-                {"limits", {{"sockets", options.maxSockets}}},
+                {"limits", {{"memory_mb", options.memoryMegabytes}, {"sockets", options.maxSockets}}},
                 {"settings", toJson(options.settings)},
                 {"known", endpointList(kKnownIndex, true, options.knownEndpoints)}};
     if (!options.counter.empty()) config["counter"] = options.counter;
--- a/tests/support/gateway_options.h
+++ b/tests/support/gateway_options.h
@@ -20,6 +20,7 @@
     std::string address;
     std::string status;     // "in_service", "terminating" or "terminated"
     std::string note = {};  // a field that the gateway does not know
+    long startedAtMs = 0;   // "since_ms"
 };
 using ListedEndpoints = std::vector<ListedEndpoint>;
 
@@ -98,6 +99,7 @@
     std::string discovery = {};  // address; empty: that of GatewayProcess::discovery()
     std::string counter = {};    // address; empty: no counter
     int maxSockets = 256;        // "limits.sockets" of the configuration
+    int memoryMegabytes = 192;   // "limits.memory_mb" of the configuration
     TimingSpec timing = {};
     rlim_t maxDescriptors = 0;  // RLIMIT_NOFILE of the process; 0: not changed
 };
