Limit the number of tenants by memory_mb, and keep less for each

Change: 10% of memory_mb holds tenants. At the limit the one whose requests arrived longest ago is evicted, but none with an attempt or counter call in flight, an amount of its window that was not posted, or consumed ceiling tokens. If none can be evicted, the new tenant's request is rejected before it is charged. Calls in flight are kept in a vector. Tests: TenantTableTest.EvictsTenantOfOldestRequestAtLimit, KeepsTenantsWhoseStateIsNeededAtLimit.

--- a/src/decision/engine/decision_engine.cpp
+++ b/src/decision/engine/decision_engine.cpp
@@ -86,6 +86,7 @@
       window_(settings_, usage_),
       ceiling_(settings_),
       sampler_(settings_.counterTimeout),
+      tenants_(settings_.maxTenants),
       ledger_(settings_, usage_, window_, ceiling_, sampler_, tenants_, requests_),
       admission_(settings_, usage_, window_, ceiling_, sampler_, tenants_, ledger_),
       latency_(settings_),
--- a/src/decision/engine/request_lifecycle.cpp
+++ b/src/decision/engine/request_lifecycle.cpp
@@ -60,6 +60,10 @@
 }
 
 void RequestLifecycle::startAdmission(EventContext& context, Request& request) {
+    if (!tenants_.makeRoomFor(request.arrival.tenant, context.now)) {
+        answerUnserved(context, request, Duration{});
+        return;
+    }
     switch (admission_.start(context, request)) {
         case QuotaAdmission::StartResult::rejected:
             answerUnserved(context, request, admission_.retryAfter(request, context.now));
@@ -136,11 +140,11 @@
     Tenant* tenant = tenants_.find(request->arrival.tenant);
     if (tenant != nullptr) --tenant->inFlight;
     dispatcher_.recordEnd(*request, ended, context.now);
+    recordWhetherExecuted(*request, context.now);
     recordWhetherSent(*request, ended.outcome);
     recordReportedUsage(context, *request, ended, tenant);
     if (ended.requestClosed) request->closed = true;
 
-    recordWhetherExecuted(*request, context.now);
     if (!request->closed && retryPolicy_.tryAcquireRetry(*request, context.now)) {
         forward(context, *request);
         return;
@@ -153,15 +157,15 @@
     }
 }
 
-// A quota charges a request if an attempt was sent. Under a plan with a ceiling, an attempt that failed to
-// connect counts as sent as well.
-void RequestLifecycle::recordWhetherSent(Request& request, Outcome outcome) const {
-    const QuotaPlan* plan = planOf(request);
 void RequestLifecycle::recordWhetherExecuted(const Request& request, TimePoint now) {
     if (!request.possibleExecution || retryPolicy_.isClientRetrySafe(request, now)) return;
     executedRequests_.add(request.arrival.request, now);
 }
 
+// A quota charges a request if an attempt was sent. Under a plan with a ceiling, an attempt that failed to
+// connect counts as sent as well.
+void RequestLifecycle::recordWhetherSent(Request& request, Outcome outcome) const {
+    const QuotaPlan* plan = planOf(request);
     const bool hasCeiling = plan != nullptr && plan->ceilingRate > 0;
     const bool isUnchargedConnectFailure = outcome == Outcome::connectFailed && !hasCeiling;
     if (outcome != Outcome::notSent && !isUnchargedConnectFailure) request.countsAsSent = true;
--- a/src/decision/quota/window_slice.cpp
+++ b/src/decision/quota/window_slice.cpp
@@ -42,7 +42,7 @@
 
 CounterCall WindowSlice::endOldestCall() {
     const CounterCall call = calls_.front();
-    calls_.pop_front();
+    calls_.erase(calls_.begin());
     return call;
 }
 
--- a/src/decision/quota/window_slice.h
+++ b/src/decision/quota/window_slice.h
@@ -6,7 +6,7 @@
 // has yet to post. It makes no admission decisions. All amounts are costs in the plan's cost unit.
 #pragma once
 
-#include <deque>
+#include <vector>
 
 #include "decision/engine/request_key.h"
 #include "decision/quota/quota_charge.h"
@@ -211,7 +211,7 @@
     double refunds_ = 0;
     double postedRefund_ = 0;
     double posted_ = 0;
-    std::deque<CounterCall> calls_;  // in flight, oldest first
+    std::vector<CounterCall> calls_;  // in flight, oldest first
 };
 
 }  // namespace gateway
--- a/src/net/config/config.cpp
+++ b/src/net/config/config.cpp
@@ -106,7 +106,8 @@
         Config config;
         readAddresses(fields, load, config);
         config.seed = readSeed(fields);
-        readLimits(fields, config);
+        readMemoryLimit(fields, config);
+        readDescriptorLimit(fields, config);
         readGatewaySettings(fields, config);
         if (fields.has("known"))
             config.cachedEndpoints = readEndpointList(fields.object("known"), config.zoneAndKindNames);
--- a/tests/decision/quota/tenant_table_test.cpp
+++ b/tests/decision/quota/tenant_table_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <cstdint>
 
 namespace gateway {
 namespace {
@@ -11,6 +12,7 @@
 
 constexpr TenantId kTenant{5};
 constexpr TenantId kOtherTenant{6};
+constexpr TenantId kNewTenant{7};
 constexpr TimePoint kNow{seconds(1000)};
 constexpr Duration kIdleTime = 2 * kMaxCounterNameLifetime + seconds(1);
 constexpr int kManyRequests = 6000;  // enough to trigger a sweep of the table
@@ -68,6 +70,31 @@
     EXPECT_NE(tenants.find(kOtherTenant), nullptr);
 }
 
+// Guards against memory that grows with the number of tenants.
+TEST_F(TenantTableTest, EvictsTenantOfOldestRequestAtLimit) {
+    tenants = TenantTable(2);
+    touch(kTenant, kNow);
+    touch(kOtherTenant, kNow);
+    touch(kTenant, kNow);
+    EXPECT_TRUE(tenants.makeRoomFor(kTenant, kNow));
+    EXPECT_NE(tenants.find(kOtherTenant), nullptr);
+    EXPECT_TRUE(tenants.makeRoomFor(kNewTenant, kNow));
+    EXPECT_EQ(tenants.find(kOtherTenant), nullptr);
+    EXPECT_NE(tenants.find(kTenant), nullptr);
+}
+
+TEST_F(TenantTableTest, KeepsTenantsWhoseStateIsNeededAtLimit) {
+    tenants = TenantTable(4);
+    touch(TenantId{1}, kNow).inFlight = 1;
+    touch(TenantId{2}, kNow).slices.emplace_back(SliceIndex{7}).beginFlushCall();
+    touch(TenantId{3}, kNow).slices.emplace_back(SliceIndex{7}).reconcile(1);
+    touch(TenantId{4}, kNow).ceiling.refilledAt = kNow;
+    EXPECT_FALSE(tenants.makeRoomFor(kNewTenant, kNow));
+    for (const std::uint64_t id : {1, 2, 3, 4}) EXPECT_NE(tenants.find(TenantId{id}), nullptr);
+    EXPECT_TRUE(tenants.makeRoomFor(kNewTenant, kNow + kMaxCounterNameLifetime + seconds(1)));
+    EXPECT_EQ(tenants.find(TenantId{2}), nullptr);
+}
+
 TEST_F(TenantTableTest, KeepsTenantsWithAttemptsInFlight) {
     touch(kTenant, kNow).inFlight = 1;
     sweep(kNow + kIdleTime);
