Bound the memory of connections by memory_mb, and shed load at the bound

Cause: nothing read memory_mb. Each connection could hold a parsed head of 300 KB (3,000 fields of 5 bytes, complete or not), a body of 64 KiB, 96 KiB of pipelined requests, and unread responses without a limit, since the next request was served before the kernel had taken the last response. Each session also kept the buffer of its largest response. Evidence: MemoryLimitTest with 700 clients, 32 MB and 1,024 descriptors. Change: client messages and endpoints' responses each have a budget, a share of memory_mb; a connection may hold 8 KiB beside it. At the bound the incomplete request, or unread response, that is stalled longest is shed; a request is rejected with 503 before it is forwarded. At the limit of connections, requests that make no progress for 250 ms are shed for clients that wait. Heads have 128 fields at most. While a request is in flight the next ones stay in the kernel, and the client's close is looked for every 50 ms. A request that arrives after the listener has closed is rejected, as SIGKILL may find it in flight. Timers no longer keep closed connections. Class: memory that the peer decides about.

--- a/src/net/client/client_request.cpp
+++ b/src/net/client/client_request.cpp
@@ -176,22 +176,20 @@
     return std::nullopt;
 }
 
-std::shared_ptr<const ForwardedRequest> makeForwardedRequest(const HttpRequest& message,
-                                                             const RequestId& id) {
+std::shared_ptr<ForwardedRequest> makeForwardedRequest(HttpRequest&& message, const RequestId& id) {
     auto forwarded = std::make_shared<ForwardedRequest>();
     forwarded->method = toString(http::to_string(message.method()));
     forwarded->target = toString(message.target());
     forwarded->host = toString(message[http::field::host]);
     forwarded->id = id.value();
     forwarded->idempotencyKey = toString(message["Idempotency-Key"]);
-    forwarded->body = message.body();
+    forwarded->body = std::move(message.body());
     return forwarded;
 }
 
 }  // namespace
 
-std::variant<ClientRequest, RequestError> parseClientRequest(const HttpRequest& message,
-                                                             const RequestRules& rules,
+std::variant<ClientRequest, RequestError> parseClientRequest(HttpRequest message, const RequestRules& rules,
                                                              TimePoint receivedAt) {
     const auto className = firstPathSegment(message.target());
     if (!className) return RequestError{http::status::bad_request, RequestField::target};
@@ -203,7 +201,7 @@
         return RequestError{http::status::method_not_allowed, RequestField::method};
     if (const auto invalid = readHeadersAndCheckBody(message, rules, receivedAt, request.arrival))
         return RequestError{http::status::bad_request, *invalid};
-    request.forwarded = makeForwardedRequest(message, request.arrival.request);
+    request.forwarded = makeForwardedRequest(std::move(message), request.arrival.request);
     return request;
 }
 
--- a/src/net/client/client_request.h
+++ b/src/net/client/client_request.h
@@ -29,7 +29,7 @@
 // A valid request.
 struct ClientRequest {
     RequestArrived arrival;
-    std::shared_ptr<const ForwardedRequest> forwarded;
+    std::shared_ptr<ForwardedRequest> forwarded;
 };
 
 // The part of a request that is invalid.
@@ -55,8 +55,8 @@
 // Validates a request. Rejects a request whose target, method, body or a required header is invalid, so that
 // it does not reach an endpoint. Ignores headers that it does not know. `receivedAt` is when the first byte
 // of the request was received; the request's deadline is computed from it.
-std::variant<ClientRequest, RequestError> parseClientRequest(const HttpRequest& message,
-                                                             const RequestRules& rules, TimePoint receivedAt);
+std::variant<ClientRequest, RequestError> parseClientRequest(HttpRequest message, const RequestRules& rules,
+                                                             TimePoint receivedAt);
 
 // Returns whether two parsers of the header could disagree on where the body ends, so that the body could
 // hide another request (request smuggling).
--- a/src/net/client/client_request_reader.cpp
+++ b/src/net/client/client_request_reader.cpp
@@ -15,6 +15,7 @@
 // result.
 std::optional<http::status> findRejectionStatus(const Parser& parser, const error_code& ec) {
     if (hasContentLengthOver(parser, kMaxBodyBytes)) return http::status::payload_too_large;
+    if (hasTooManyFields(parser)) return http::status::request_header_fields_too_large;
     if (parser.is_header_done() && hasAmbiguousLength(parser.get())) return http::status::bad_request;
     if (!ec || ec == http::error::need_more) return std::nullopt;
     if (ec == http::error::body_limit) return http::status::payload_too_large;
@@ -39,6 +40,7 @@
         rejectionStatus_ = *rejectionStatus;
         return Progress::rejected;
     }
+    heldBytes_ = parsedMessageBytes(*parser_);
     if (parser_->is_done()) return Progress::complete;
     // After a complete header, Beast returns need_more only if the input ends within a chunk header or the
     // trailer of a chunked body. If the input ends with the header, Beast returns no error.
@@ -58,6 +60,7 @@
     parser_->body_limit(kMaxBodyBytes);
     parser_->header_limit(kMaxHeaderBytes);
     parser_->eager(true);
+    heldBytes_ = 0;
     isPartial_ = false;
     expectsContinue_ = false;
 }
--- a/src/net/client/client_request_reader.h
+++ b/src/net/client/client_request_reader.h
@@ -41,6 +41,12 @@
     // Returns the status to answer with. Precondition: read() has returned `rejected`.
     boost::beast::http::status rejectionStatus() const { return rejectionStatus_; }
 
+    // Discards what was read of an incomplete request. The stream can't be read any further.
+    void discard() { reset(); }
+
+    // Returns the approximate memory of the incomplete request.
+    std::size_t heldBytes() const { return heldBytes_; }
+
     // Returns whether a part of a request was read and the rest has not been received.
     bool isPartial() const { return isPartial_; }
 
@@ -63,6 +69,7 @@
     TimePoint receivedAt_{};
     TimePoint readingStartedAt_{};
     boost::beast::http::status rejectionStatus_ = boost::beast::http::status::bad_request;
+    std::size_t heldBytes_ = 0;
     bool isPartial_ = false;
     bool expectsContinue_ = false;
 };
--- a/src/net/client/client_server.cpp
+++ b/src/net/client/client_server.cpp
@@ -35,7 +35,9 @@
       rules_(std::move(rules)),
       limits_(limits),
       hooks_(std::move(hooks)),
-      acceptor_(ioContext) {}
+      acceptor_(ioContext),
+      memoryBudget_(std::make_shared<MemoryBudget>(limits.messageBytes)),
+      shedLog_(timers) {}
 
 // ---- Accepting ------------------------------------------------------------------------------------
 
@@ -45,10 +47,10 @@
     acceptor_.bind(address);
     acceptor_.listen(kAcceptBacklog);
     acceptor_.non_blocking(true);
-    isListening_ = true;
-    awaitClient();
     // Without this option Asio waits within accept() after a connection that was aborted in the backlog.
     acceptor_.set_option(boost::asio::socket_base::enable_connection_aborted(true));
+    isListening_ = true;
+    awaitClient();
     timers_.schedule(kSweepPeriod, [this] { endStalledSessions(); });
 }
 
@@ -72,12 +74,10 @@
         handleAcceptFailure(ec);
         return;
     }
+    if (!ec) startSession(std::move(socket));
     awaitClient();
 }
 
-// Returns whether another session may be started. If none may, clients wait in the listener's backlog until a
-// session ends or becomes idle, or a silent new connection is past its grace period.
-bool ClientServer::makeRoom() {
 // Most failures concern one client or a moment. Without the pauses, a client in the backlog would cause a
 // busy loop of failing accepts.
 void ClientServer::handleAcceptFailure(const error_code& ec) {
@@ -88,12 +88,33 @@
         retryAccept(isDescriptorShortage(ec) ? kAcceptPause : kAcceptRetryDelay);
 }
 
+// Returns whether another session may be started. If none may, clients wait in the listener's backlog until a
+// session ends or becomes idle, or a silent new connection is past its grace period.
+bool ClientServer::makeRoom() {
+    if (sessions_.size() < limits_.connections) return true;
+    if (endIdleSession()) return true;
+    shedSlowRequests();
     if (sessions_.size() < limits_.connections) return true;
-    if (endIdleSession(limits_.newConnectionGrace)) return true;
     retryAccept(limits_.newConnectionGrace);
     return false;
 }
 
+// Rejects requests that clients don't complete, and ends connections whose last response was sent, because
+// other clients wait for the connections.
+void ClientServer::shedSlowRequests() {
+    std::vector<SessionPtr> slow;
+    std::vector<SessionPtr> lingering;
+    for (const SessionPtr& session : sessions_) {
+        if (session->isSendingSlowly(kMaxSilenceAtLimit, kMaxRequestTimeAtLimit)) slow.push_back(session);
+        if (session->hasLingeredFor(kLingerTimeAtLimit)) lingering.push_back(session);
+    }
+    for (const SessionPtr& session : slow) {
+        session->answerAndClose(http::status::service_unavailable);
+        shedLog_.record(ShedReason::connectionLimit);
+    }
+    for (const SessionPtr& session : lingering) session->end();
+}
+
 void ClientServer::retryAccept(Duration delay) {
     if (isRetryScheduled_) return;
     isRetryScheduled_ = true;
@@ -105,19 +126,19 @@
 
 void ClientServer::startSession(tcp::socket&& socket) {
     const auto session = std::make_shared<ClientSession>(
-        std::move(socket), static_cast<ClientSessionObserver&>(*this), timers_, clock_);
+        std::move(socket), static_cast<ClientSessionObserver&>(*this), timers_, clock_, memoryBudget_);
     session->setPosition(sessions_.insert(sessions_.end(), session));
     session->start();
 }
 
 // Ends the idle session that was active longest ago, but no new connection within its grace period. Returns
 // false if there is none.
-bool ClientServer::endIdleSession(Duration newConnectionGrace) {
+bool ClientServer::endIdleSession() {
     const auto now = steady_clock::now();
     for (const SessionPtr& session : sessions_) {
         if (!session->isIdle() || session->hasInput()) continue;
         const bool isNew =
-            session->isBeforeFirstResponse() && now - session->lastActiveAt() <= newConnectionGrace;
+            session->isBeforeFirstResponse() && now - session->lastActiveAt() <= limits_.newConnectionGrace;
         if (isNew) continue;
         const SessionPtr ended = session;  // keeps the session alive, since end() removes it from the list
         ended->end();
@@ -131,6 +152,33 @@
     return endIdleSession();
 }
 
+// ---- Memory ---------------------------------------------------------------------------------------
+
+bool ClientServer::isMemoryExhausted() {
+    while (memoryBudget_->isExceeded())
+        if (!shedLargestHolder()) return true;
+    return false;
+}
+
+// Ends the session that holds memory for a request or response and has been stalled longest. Returns false if
+// there is none: the remaining memory is taken by requests in flight.
+bool ClientServer::shedLargestHolder() {
+    SessionPtr oldest;
+    const TimePoint now = clock_.now();
+    for (const SessionPtr& session : sessions_) {
+        if (session->chargedBytes() == 0 || session->isIdle()) continue;
+        const bool isStalled = session->stalledFor(now) > Duration::zero();
+        if (isStalled && (!oldest || session->stalledFor(now) > oldest->stalledFor(now))) oldest = session;
+    }
+    if (!oldest) return false;
+    if (oldest->isFlushed())
+        oldest->answerAndClose(http::status::service_unavailable);
+    else
+        oldest->end();
+    shedLog_.record(ShedReason::memoryLimit);
+    return true;
+}
+
 // ---- Sessions -------------------------------------------------------------------------------------
 
 void ClientServer::answer(ClientSession& session, const ClientResponse& response) {
@@ -196,6 +244,7 @@
 void ClientServer::drain(std::function<void()> done) {
     if (isDraining_) return;
     isDraining_ = true;
+    lastRequestAt_ = clock_.now() + limits_.listenGracePeriod + kFirstRequestGrace;
     onDrained_ = std::move(done);
     timers_.schedule(limits_.idleGracePeriod, [this] { endIdleSessionsWhileDraining(); });
     timers_.schedule(limits_.listenGracePeriod, [this] { stopListening(); });
--- a/src/net/client/client_server.h
+++ b/src/net/client/client_server.h
@@ -7,17 +7,21 @@
 #include <memory>
 
 #include "net/client/client_session.h"
+#include "net/client/shed_log.h"
 #include "net/transport/clock.h"
 #include "net/transport/timer_queue.h"
 
 namespace gateway::net {
 
 // Accepts clients and owns their sessions. Ends idle sessions when their connections are needed for other
-// clients, and the sessions of clients that stop sending a request or receiving a response.
+// clients, and the sessions of clients that stop sending a request or receiving a response. At the limit of
+// connections or of memory it rejects incomplete requests, the oldest first.
 class ClientServer final : private ClientSessionObserver {
 public:
     struct Limits {
         std::size_t connections = 512;
+        std::size_t messageBytes =
+            64UL * 1024 * 1024;        // of all requests and unread responses; see MemoryBudget
         Duration listenGracePeriod{};  // time from drain() until the listener closes
         Duration idleGracePeriod{};    // time from drain() until idle connections are closed
         // Time from accepting a connection until its first request is complete; for a later request, from the
@@ -49,8 +53,8 @@
     // Answers the session's request in flight.
     void answer(ClientSession& session, const ClientResponse& response);
 
-    // Ends the idle session that was accepted or read input longest ago, to free its descriptor. Returns
-    // false if no session is idle.
+    // Ends the idle session that was accepted or read input longest ago, to free its descriptor. Spares new
+    // connections as at the limit of connections. Returns false if there is none.
     bool evictIdleClient();
 
     // Ends the session if its client has closed the connection, even if the event loop has not reported that
@@ -68,6 +72,8 @@
     const RequestRules& rules() const override { return rules_; }
     bool isReady() const override { return hooks_.isReady(); }
     bool isDraining() const override { return isDraining_; }
+    TimePoint lastRequestAt() const override { return lastRequestAt_; }
+    bool isMemoryExhausted() override;
     bool startRequest(ClientRequest&& request, const SessionPtr& session) override;
     void onDisconnect(const RequestId& request) override { hooks_.onDisconnect(request); }
     void onActive(ClientSession& session) override;
@@ -76,13 +82,15 @@
 
     void awaitClient();
     void acceptClient();
+    void handleAcceptFailure(const error_code& ec);
     bool makeRoom();
+    void shedSlowRequests();
+    bool shedLargestHolder();
     void retryAccept(Duration delay);
     void startSession(tcp::socket&& socket);
-    bool endIdleSession(Duration newConnectionGrace = Duration::zero());
+    bool endIdleSession();
     void endStalledSessions();
     void endIdleSessionsWhileDraining();
-    void handleAcceptFailure(const error_code& ec);
     void stopListening();
     void reportDrained();
 
@@ -93,9 +101,12 @@
     Limits limits_;
     Hooks hooks_;
     tcp::acceptor acceptor_;
+    std::shared_ptr<MemoryBudget> memoryBudget_;
+    ShedLog shedLog_;
     std::list<SessionPtr> sessions_;  // the one that was accepted or read input last at the back
-    bool isAwaitingClient_ = false;   // a wait for a client in the backlog is pending
-    bool isRetryScheduled_ = false;   // of an accept
+    TimePoint lastRequestAt_ = TimePoint::max();
+    bool isAwaitingClient_ = false;  // a wait for a client in the backlog is pending
+    bool isRetryScheduled_ = false;  // of an accept
     bool isDraining_ = false;
     bool isListening_ = false;
     std::function<void()> onDrained_;
--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -9,18 +9,22 @@
 
 namespace {
 
-constexpr std::size_t kMaxPipelinedBytes = 96UL * 1024;    // that are kept while a request is in flight
+constexpr std::size_t kMaxPipelinedBytes = 4UL * 1024;  // that are received while a request is in flight
+constexpr Duration kDisconnectPollInterval =
+    std::chrono::milliseconds(50);                         // while input is left in the kernel
 constexpr Duration kLingerTime = std::chrono::seconds(1);  // for the client to receive the last response
 constexpr std::string_view kReadinessTarget = "/-/ready";
 
 }  // namespace
 
 ClientSession::ClientSession(tcp::socket&& socket, ClientSessionObserver& observer, TimerQueue& timers,
-                             const Clock& clock)
+                             const Clock& clock, const std::shared_ptr<MemoryBudget>& memoryBudget)
     : TcpConnection(std::move(socket)),
       observer_(observer),
       timers_(timers),
       clock_(clock),
+      memoryBudget_(memoryBudget),
+      memory_(memoryBudget),
       acceptedAt_(clock.now()) {}
 
 Duration ClientSession::stalledFor(TimePoint now) const {
@@ -30,23 +34,39 @@
     return now - (isBeforeFirstResponse() ? acceptedAt_ : reader_.readingStartedAt());
 }
 
+bool ClientSession::isSendingSlowly(Duration maxSilence, Duration maxTime) const {
+    const Duration time = stalledFor(clock_.now());
+    if (!reader_.isPartial() || !isFlushed()) return false;
+    return time > maxTime || (time > maxSilence && clock_.now() - lastReceivedAt_ > maxSilence);
+}
+
+bool ClientSession::hasLingeredFor(Duration time) const {
+    return isLingering_ && isFlushed() && steady_clock::now() - lastActiveAt_ >= time;
+}
+
 // ---- Responses ------------------------------------------------------------------------------------
 
 void ClientSession::answer(const ClientResponse& response) {
     isBusy_ = false;
     ++responses_;
     const bool staysOpen = shouldStayOpen();
-    output_.clear();
-    appendResponse(output_, response, staysOpen);
-    send(output_);
+    appendResponse(output(), response, staysOpen);
+    flush();
     lastActiveAt_ = steady_clock::now();
     if (!isFlushed()) blockedAt_ = clock_.now();
-    if (!staysOpen) {
+    if (!staysOpen)
         linger();
+    else if (isFlushed())
+        scheduleReadNext();
+    chargeMemory();
+}
+
+// Reads from the event loop to avoid recursion.
+void ClientSession::scheduleReadNext() {
+    if (input().size() == 0) {
+        resumeReading();
         return;
     }
-    if (input().size() == 0) return;
-    // The next request is already in the input. Reads it from the event loop to avoid recursion.
     timers_.schedule(Duration::zero(), [weak = weak_from_this()] {
         if (const auto session = weak.lock()) static_cast<ClientSession&>(*session).readNext();
     });
@@ -57,7 +77,6 @@
 bool ClientSession::shouldStayOpen() {
     if (!keepAlive_) return false;
     if (input().size() > 0) return true;
-    if (isDiscardingInput()) return false;
     return !observer_.isDraining() || hasInput();
 }
 
@@ -76,18 +95,23 @@
 void ClientSession::linger() {
     isLingering_ = true;
     if (isFlushed()) shutdownSend();
+    reader_.discard();
     discardInput();
-    timers_.schedule(kLingerTime, [weak = weak_from_this()] {
+    lingerTimer_ = timers_.schedule(kLingerTime, [weak = weak_from_this()] {
         const auto session = weak.lock();
         if (session && session->isOpen()) static_cast<ClientSession&>(*session).end();
     });
 }
 
 void ClientSession::onOutputWritten() {
-    if (isLingering_)
+    chargeMemory();
+    if (isLingering_) {
+        lastActiveAt_ = steady_clock::now();
         shutdownSend();
-    else
-        observer_.onResponseWritten();
+        return;
+    }
+    scheduleReadNext();
+    observer_.onResponseWritten();
 }
 
 void ClientSession::end() {
@@ -96,6 +120,8 @@
     if (isBusy_) observer_.onDisconnect(request_);
     isBusy_ = false;
     close();
+    memory_.set(0);
+    timers_.cancel(lingerTimer_);  // else the timer would keep the session's memory
     observer_.onEnded(*this);
 }
 
@@ -103,18 +129,51 @@
 
 void ClientSession::onReceived() {
     lastActiveAt_ = steady_clock::now();
-    reader_.recordReceived(input().size(), clock_.now());
-    if (!isBusy_) {
+    lastReceivedAt_ = clock_.now();
+    reader_.recordReceived(input().size(), lastReceivedAt_);
+    if (isWaitingToRead())
+        limitPipelinedInput();
+    else
         readNext();
-        return;
-    }
-    // Drops further bytes instead of leaving them unread, so that the client's close is still noticed.
-    if (input().size() > kMaxPipelinedBytes) discardFurtherInput();
+    chargeMemory();
+}
+
+// Leaves further bytes in the kernel, so that the client can't fill this process's memory.
+void ClientSession::limitPipelinedInput() {
+    if (input().size() < kMaxPipelinedBytes) return;
+    pauseReading();
+    awaitDisconnect();
+}
+
+// While reading is paused, the event loop does not report that the client has closed the connection.
+void ClientSession::awaitDisconnect() {
+    if (isAwaitingDisconnect_) return;
+    isAwaitingDisconnect_ = true;
+    timers_.schedule(kDisconnectPollInterval, [weak = weak_from_this()] {
+        const auto connection = weak.lock();
+        if (!connection || !connection->isOpen()) return;
+        auto& session = static_cast<ClientSession&>(*connection);
+        session.isAwaitingDisconnect_ = false;
+        if (!session.isReadingPaused()) return;
+        if (session.hasPeerClosed())
+            session.end();
+        else
+            session.awaitDisconnect();
+    });
+}
+
+// Charges what the session holds, and lets the observer shed load if that is too much.
+void ClientSession::chargeMemory() {
+    if (hasEnded_) return;
+    const std::size_t before = memory_.bytes();
+    memory_.set(chargeableBytes(bufferCapacity() + reader_.heldBytes()));
+    if (memory_.bytes() > before) observer_.isMemoryExhausted();
 }
 
 void ClientSession::readNext() {
-    if (!isOpen() || isBusy_ || isLingering_) return;
+    if (!isOpen() || isLingering_ || isWaitingToRead()) return;
     observer_.onActive(*this);
+    resumeReading();
     if (input().size() == 0) return;
     switch (reader_.read(input(), clock_.now())) {
         case ClientRequestReader::Progress::incomplete:
@@ -124,38 +183,51 @@
             answerAndClose(reader_.rejectionStatus());
             break;
         case ClientRequestReader::Progress::complete: {
-            const HttpRequest message = reader_.takeRequest();
+            HttpRequest message = reader_.takeRequest();
             keepAlive_ = message.keep_alive();
             hasSentContinue_ = false;
             isBusy_ = true;
-            serve(message);
+            releaseUnusedInput();
+            serve(std::move(message));
             break;
         }
     }
+    chargeMemory();
 }
 
 void ClientSession::handleIncompleteRequest() {
-    if (isDiscardingInput()) {  // the rest of the request was dropped, so it can't be completed
-        linger();
-        return;
-    }
     if (hasSentContinue_ || !reader_.expectsContinue()) return;
     hasSentContinue_ = true;
     send("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
-void ClientSession::serve(const HttpRequest& message) {
+void ClientSession::serve(HttpRequest&& message) {
     const auto target = message.target();
     if (std::string_view(target.data(), target.size()) == kReadinessTarget) {
         answerReadiness(message);
         return;
     }
-    auto parsed = parseClientRequest(message, observer_.rules(), reader_.receivedAt());
-    if (const auto* error = std::get_if<RequestError>(&parsed)) {
+    if (lastReceivedAt_ > observer_.lastRequestAt()) {
+        answerAndClose(http::status::service_unavailable);
+        return;
+    }
+    auto parsed = parseClientRequest(std::move(message), observer_.rules(), reader_.receivedAt());
+    if (const auto* error = std::get_if<RequestError>(&parsed))
         answerInvalid(error->status);
+    else
+        startRequest(std::move(std::get<ClientRequest>(parsed)));
+}
+
+// Rejects a request that takes memory from the budget if the budget is exceeded although other sessions were
+// ended.
+void ClientSession::startRequest(ClientRequest&& request) {
+    request.forwarded->memory = MemoryCharge(memoryBudget_);
+    request.forwarded->memory.set(chargeableBytes(request.forwarded->sizeInMemory()));
+    memory_.set(chargeableBytes(bufferCapacity()));
+    if (request.forwarded->memory.bytes() > 0 && observer_.isMemoryExhausted()) {
+        answer(plainResponse(http::status::service_unavailable));
         return;
     }
-    auto& request = std::get<ClientRequest>(parsed);
     request_ = request.arrival.request;
     const bool started = observer_.startRequest(std::move(request), self());
     if (!started) answerInvalid(http::status::bad_request);
--- a/src/net/client/client_session.h
+++ b/src/net/client/client_session.h
@@ -11,6 +11,7 @@
 #include "net/client/client_request_reader.h"
 #include "net/client/client_response.h"
 #include "net/transport/clock.h"
+#include "net/transport/memory_budget.h"
 #include "net/transport/tcp_connection.h"
 
 namespace gateway::net {
@@ -27,6 +28,13 @@
     virtual bool isReady() const = 0;
     // Returns whether the gateway is shutting down: it answers requests and closes idle connections.
     virtual bool isDraining() const = 0;
+    // Returns when the gateway stopped, or will stop, to serve further requests because it is shutting down.
+    // A request that arrives later might still be in flight when the process is killed.
+    virtual TimePoint lastRequestAt() const = 0;
+
+    // Called after the session's messages have grown. Ends other sessions, or this one, if the budget is
+    // exceeded. Returns whether it is still exceeded.
+    virtual bool isMemoryExhausted() = 0;
 
     // Starts to serve a request. The response is sent by ClientSession::answer(), possibly before this
     // function returns. Returns false, and does nothing, if a request with the same id is in flight.
@@ -43,15 +51,16 @@
 };
 
 // Reads a client's requests one at a time and writes one response to each. Answers malformed requests and
-// readiness checks itself. While a request is in flight, the session continues to receive, so that it notices
-// when the client closes the connection. It keeps pipelined bytes up to a limit.
+// readiness checks itself. Reads the next request after the kernel has accepted the response. Meanwhile the
+// session receives pipelined bytes up to a limit, leaves further ones in the kernel, and notices when the
+// client closes the connection.
 class ClientSession final : public TcpConnection {
 public:
     using Position = std::list<std::shared_ptr<ClientSession>>::iterator;
 
     // `observer`, `timers` and `clock` must outlive the session.
     ClientSession(tcp::socket&& socket, ClientSessionObserver& observer, TimerQueue& timers,
-                  const Clock& clock);
+                  const Clock& clock, const std::shared_ptr<MemoryBudget>& memoryBudget);
 
     // The session's position in its owner's list of sessions. Only the owner uses it.
     void setPosition(Position position) { position_ = position; }
@@ -66,6 +75,16 @@
     // Closes the connection at once. Has no effect on a session that has ended.
     void end();
 
+    // Returns whether a request is incomplete and no byte of it arrived within `maxSilence`, or it has been
+    // incomplete for longer than `maxTime`.
+    bool isSendingSlowly(Duration maxSilence, Duration maxTime) const;
+
+    // Returns whether the last response was accepted by the kernel at least `time` ago.
+    bool hasLingeredFor(Duration time) const;
+
+    // Returns what the session takes from the memory budget.
+    std::size_t chargedBytes() const { return memory_.bytes(); }
+
     // Returns whether no request is in flight, being received or being answered.
     bool isIdle() const { return !isBusy_ && !isLingering_ && !reader_.isPartial() && isFlushed(); }
 
@@ -89,8 +108,14 @@
     void onClosed() override { end(); }
 
     void readNext();
+    void scheduleReadNext();
+    void limitPipelinedInput();
+    void awaitDisconnect();
+    bool isWaitingToRead() const { return isBusy_ || !isFlushed(); }
+    void chargeMemory();
     void handleIncompleteRequest();
-    void serve(const HttpRequest& message);
+    void serve(HttpRequest&& message);
+    void startRequest(ClientRequest&& request);
     void answerReadiness(const HttpRequest& message);
     void answerInvalid(boost::beast::http::status status);
     bool shouldStayOpen();
@@ -104,12 +129,16 @@
     const Clock& clock_;
     Position position_{};
     ClientRequestReader reader_;
-    RequestId request_;   // the request in flight, if isBusy_
-    std::string output_;  // a member to reuse its capacity
+    RequestId request_;  // the request in flight, if isBusy_
+    std::shared_ptr<MemoryBudget> memoryBudget_;
+    MemoryCharge memory_;  // of the buffers and the incomplete request
     TimePoint acceptedAt_;
     TimePoint blockedAt_{};  // when a response was sent that the kernel did not accept completely
     std::chrono::steady_clock::time_point lastActiveAt_ = std::chrono::steady_clock::now();
+    TimePoint lastReceivedAt_{};
     std::uint64_t responses_ = 0;
+    TimerQueue::Token lingerTimer_ = 0;
+    bool isAwaitingDisconnect_ = false;
     bool hasEnded_ = false;
     bool isBusy_ = false;       // a request is in flight
     bool isLingering_ = false;  // the last response was sent, and the client should close the connection
--- a/src/net/server/component_options.cpp
+++ b/src/net/server/component_options.cpp
@@ -1,5 +1,6 @@
 #include "net/server/component_options.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <utility>
 
@@ -9,6 +10,19 @@
 constexpr std::size_t kClientDescriptorPercent = 50;
 constexpr std::size_t kUpstreamDescriptorPercent = 40;
 
+// Shares of the memory limit. What is left is for the program, its tables and the allocator's overhead.
+constexpr std::size_t kClientConnectionsMemoryPercent = 20;
+constexpr std::size_t kClientMessagesMemoryPercent = 20;
+constexpr std::size_t kUpstreamConnectionsMemoryPercent = 12;
+constexpr std::size_t kUpstreamMessagesMemoryPercent = 12;
+
+constexpr std::size_t kBytesPerClientConnection = 12UL * 1024;  // with kUnchargedBytesPerConnection
+constexpr std::size_t kBytesPerUpstreamConnection = 9UL * 1024;
+
+std::size_t percentOf(std::size_t total, std::size_t percent) {
+    return total / 100 * percent;
+}
+
 DiscoverySchedule discoverySchedule(const Config& config) {
     const Settings& settings = config.settings;
     if (settings.discovery == DiscoveryMode::push) return DiscoverySchedule::forPush(config.seed);
@@ -20,7 +34,10 @@
 
 ClientServer::Limits clientServerLimits(const Config& config) {
     ClientServer::Limits limits;
-    limits.connections = config.maxDescriptors * kClientDescriptorPercent / 100;
+    limits.connections = std::min(
+        config.maxDescriptors * kClientDescriptorPercent / 100,
+        percentOf(config.maxMemoryBytes, kClientConnectionsMemoryPercent) / kBytesPerClientConnection);
+    limits.messageBytes = percentOf(config.maxMemoryBytes, kClientMessagesMemoryPercent);
     limits.listenGracePeriod = config.timing.listenGracePeriod;
     limits.idleGracePeriod = config.timing.idleGracePeriod;
     limits.requestReadTimeout = config.timing.requestReadTimeout;
@@ -29,7 +46,10 @@
 
 UpstreamClient::Limits upstreamClientLimits(const Config& config, ReclaimDescriptor reclaimDescriptor) {
     UpstreamClient::Limits limits;
-    limits.maxConnections = config.maxDescriptors * kUpstreamDescriptorPercent / 100;
+    limits.maxConnections = std::min(
+        config.maxDescriptors * kUpstreamDescriptorPercent / 100,
+        percentOf(config.maxMemoryBytes, kUpstreamConnectionsMemoryPercent) / kBytesPerUpstreamConnection);
+    limits.messageBytes = percentOf(config.maxMemoryBytes, kUpstreamMessagesMemoryPercent);
     limits.connectTimeout = config.settings.connectTimeout;
     limits.keepAlive = config.upstreamKeepAlive;
     limits.reuseDelay = config.timing.reuseDelay;
--- a/src/net/server/component_options.h
+++ b/src/net/server/component_options.h
@@ -12,6 +12,8 @@
 
 // Of the file descriptors that the configuration allows, 50% are for connections of clients and 40% for
 // connections to endpoints. The rest is for the counter service, discovery, the listener and the event loop.
+// The memory limit reduces these numbers where each connection could not have its share of the memory. The
+// shares of the memory are listed in docs/operations.md.
 ClientServer::Limits clientServerLimits(const Config& config);
 UpstreamClient::Limits upstreamClientLimits(const Config& config, ReclaimDescriptor reclaimDescriptor);
 
--- a/src/net/transport/tcp_connection.cpp
+++ b/src/net/transport/tcp_connection.cpp
@@ -65,12 +65,19 @@
         });
     });
     // An unreachable machine never answers, so only this timer ends the attempt to connect.
-    timers.schedule(timeout, [weak = weak_from_this()] {
+    timers_ = &timers;
+    connectTimer_ = timers.schedule(timeout, [weak = weak_from_this()] {
         const auto self = weak.lock();
         if (self && !self->open_) self->fail();
     });
 }
 
+// A pending timer would keep the memory of a closed connection.
+void TcpConnection::cancelConnectTimer() {
+    if (timers_ != nullptr) timers_->cancel(connectTimer_);
+    timers_ = nullptr;
+}
+
 bool TcpConnection::openSocket(const tcp::endpoint& peer, const ReclaimDescriptor& reclaimDescriptor) {
     error_code ec;
     for (int attempt = 0; attempt < kMaxOpenAttempts; ++attempt) {
@@ -84,6 +91,7 @@
 
 void TcpConnection::start() {
     open_ = true;
+    cancelConnectTimer();
     error_code ec;
     socket_.set_option(tcp::no_delay(true), ec);
     socket_.non_blocking(true, ec);
@@ -95,11 +103,11 @@
 // Waits for input, and takes it from the kernel in the handler. An asynchronous read would take the input
 // some time before its handler runs; until then, neither input() nor peek() would show it.
 void TcpConnection::awaitInput() {
-    if (closed_ || awaitingInput_) return;
+    if (closed_ || awaitingInput_ || isReadingPaused_) return;
     awaitingInput_ = true;
     socket_.async_wait(tcp::socket::wait_read, [this, self = shared_from_this()](error_code ec) {
         awaitingInput_ = false;
-        if (closed_) return;
+        if (closed_ || isReadingPaused_) return;
         if (!ec) runGuarded([&] { ec = read(); });
         if (ec)
             fail();
@@ -117,12 +125,25 @@
     if (ec || discarding_) return ec;
     input_.commit(size);
     onReceived();
+    releaseUnusedInput();
     return {};
 }
 
+void TcpConnection::resumeReading() {
+    if (!isReadingPaused_) return;
+    isReadingPaused_ = false;
+    awaitInput();
+}
+
 void TcpConnection::discardInput() {
     discarding_ = true;
     input_.consume(input_.size());
+    releaseUnusedInput();
+    resumeReading();
+}
+
+void TcpConnection::releaseUnusedInput() {
+    if (input_.size() == 0 && input_.capacity() > kReadBytes) input_.shrink_to_fit();
 }
 
 TcpConnection::PeekResult TcpConnection::peek() {
@@ -192,6 +213,7 @@
 void TcpConnection::close() {
     closed_ = true;
     open_ = false;
+    cancelConnectTimer();
     error_code ec;
     socket_.close(ec);
 }
--- a/src/net/transport/tcp_connection.h
+++ b/src/net/transport/tcp_connection.h
@@ -97,13 +97,25 @@
     // 4 KiB of this limit is left for the next read.
     boost::beast::flat_buffer& input() { return input_; }
 
+    // The bytes that were not passed to the kernel yet. The next flush() or send() writes what was appended.
+    std::string& output() { return output_; }
+
+    // Returns the memory of the input and output buffers.
+    std::size_t bufferCapacity() const { return input_.capacity() + output_.capacity(); }
+
+    // Frees the input buffer if it is empty and larger than one read.
+    void releaseUnusedInput();
+
+    // Leaves arriving bytes in the kernel until resumeReading(). Meanwhile the end of the connection is not
+    // reported; hasPeerClosed() shows it.
+    void pauseReading() { isReadingPaused_ = true; }
+    void resumeReading();
+    bool isReadingPaused() const { return isReadingPaused_; }
+
     // Discards the input and all bytes that arrive from now on. Reading continues, because it detects the end
     // of the connection.
     void discardInput();
 
-    // Discards all bytes that arrive from now on, but keeps the present input.
-    void discardFurtherInput() { discarding_ = true; }
-
     // Returns whether arriving bytes are discarded.
     bool isDiscardingInput() const { return discarding_; }
 
@@ -122,6 +134,7 @@
     bool openSocket(const tcp::endpoint& peer, const ReclaimDescriptor& reclaimDescriptor);
     void awaitInput();
     error_code read();
+    void cancelConnectTimer();
     void awaitWritable();
     void fail();
     template <class Step>
@@ -139,7 +152,10 @@
     bool closed_ = false;
     bool awaitingInput_ = false;     // a wait for input is pending
     bool awaitingWritable_ = false;  // a wait until the socket is writable is pending
+    bool isReadingPaused_ = false;
     bool discarding_ = false;
+    TimerQueue* timers_ = nullptr;  // of connect()
+    TimerQueue::Token connectTimer_ = 0;
 };
 
 }  // namespace gateway::net
--- a/src/net/upstream/attempt_runner.cpp
+++ b/src/net/upstream/attempt_runner.cpp
@@ -14,7 +14,8 @@
       timers_(timers),
       idleConnections_(idleConnections),
       limits_(limits),
-      hooks_(std::move(hooks)) {}
+      hooks_(std::move(hooks)),
+      memoryBudget_(std::make_shared<MemoryBudget>(limits.messageBytes)) {}
 
 // ---- Starting and sending -------------------------------------------------------------------------
 
@@ -56,8 +57,9 @@
 }
 
 void AttemptRunner::connect(Attempt& attempt, AttemptId id, Duration timeout) {
-    attempt.connection = std::make_shared<UpstreamConnection>(
-        ioContext_, static_cast<UpstreamConnectionObserver&>(*this), timers_, connectionCount_);
+    attempt.connection =
+        std::make_shared<UpstreamConnection>(ioContext_, static_cast<UpstreamConnectionObserver&>(*this),
+                                             timers_, connectionCount_, memoryBudget_);
     attempt.connection->assign(id);
     const bool hasConnectTimeout = limits_.connectTimeout > Duration::zero();
     attempt.connection->connect(attempt.endpoint->address(), timers_,
@@ -123,6 +125,19 @@
     idleConnections_.close(connection);
 }
 
+void AttemptRunner::onMemoryExceeded() {
+    while (memoryBudget_->isExceeded()) {
+        ConnectionPtr oldest;
+        for (const auto& [id, attempt] : attempts_) {
+            const ConnectionPtr& connection = attempt.connection;
+            if (!connection || connection->chargedBytes() == 0) continue;
+            if (!oldest || connection->lastProgressAt() < oldest->lastProgressAt()) oldest = connection;
+        }
+        if (!oldest) return;
+        oldest->closeAsBroken();
+    }
+}
+
 void AttemptRunner::expire(AttemptId id) {
     const auto found = attempts_.find(id);
     if (found == attempts_.end()) return;
--- a/src/net/upstream/attempt_runner.h
+++ b/src/net/upstream/attempt_runner.h
@@ -19,12 +19,14 @@
 
 // An attempt uses an idle connection if there is one, and a new connection otherwise. It is sent at most
 // once. It ends when its response is complete, its connection fails, its timeout expires or it is cancelled,
-// whichever happens first.
+// whichever happens first. If messages take more memory than allowed, the attempts fail whose responses have
+// been incomplete longest.
 class AttemptRunner final : private UpstreamConnectionObserver {
 public:
     struct Limits {
-        std::size_t maxConnections = 256;       // over all endpoints, including idle connections
-        Duration connectTimeout{};              // 0: only the attempt's timeout applies
+        std::size_t maxConnections = 256;               // over all endpoints, including idle connections
+        std::size_t messageBytes = 64UL * 1024 * 1024;  // of incomplete responses and unwritten requests
+        Duration connectTimeout{};                      // 0: only the attempt's timeout applies
         Duration drainGracePeriod{};            // during which attempts are sent to a draining endpoint
         ReclaimDescriptor reclaimDescriptor{};  // called if no socket can be opened
     };
@@ -79,6 +81,7 @@
     void onResponse(AttemptId id, AttemptResult&& result, bool isReusable) override;
     void onBroken(const ConnectionPtr& connection) override;
     void onUnexpectedInput(const ConnectionPtr& connection) override;
+    void onMemoryExceeded() override;
 
     bool canStart(const Attempt& attempt) const;
     bool makeRoomForConnection();
@@ -95,6 +98,7 @@
     Hooks hooks_;
     std::unordered_map<AttemptId, Attempt> attempts_;  // in flight
     std::shared_ptr<std::size_t> connectionCount_ = std::make_shared<std::size_t>(0);
+    std::shared_ptr<MemoryBudget> memoryBudget_;
 };
 
 }  // namespace gateway::net
--- a/src/net/upstream/upstream_client.cpp
+++ b/src/net/upstream/upstream_client.cpp
@@ -10,7 +10,8 @@
 }
 
 AttemptRunner::Limits attemptLimits(const UpstreamClient::Limits& limits) {
-    return {limits.maxConnections, limits.connectTimeout, limits.drainGracePeriod, limits.reclaimDescriptor};
+    return {limits.maxConnections, limits.messageBytes, limits.connectTimeout, limits.drainGracePeriod,
+            limits.reclaimDescriptor};
 }
 
 }  // namespace
--- a/src/net/upstream/upstream_client.h
+++ b/src/net/upstream/upstream_client.h
@@ -18,8 +18,9 @@
 class UpstreamClient {
 public:
     struct Limits {
-        std::size_t maxConnections = 256;       // over all endpoints
-        Duration connectTimeout{};              // 0: only the attempt's timeout applies
+        std::size_t maxConnections = 256;               // over all endpoints
+        std::size_t messageBytes = 64UL * 1024 * 1024;  // of incomplete responses and unwritten requests
+        Duration connectTimeout{};                      // 0: only the attempt's timeout applies
         Duration keepAlive{};                   // endpoints close connections that were idle this long
         Duration drainGracePeriod{};            // during which attempts are sent to a draining endpoint
         Duration reuseDelay{};                  // before a connection is used again after a response
--- a/src/net/upstream/upstream_connection.cpp
+++ b/src/net/upstream/upstream_connection.cpp
@@ -29,11 +29,13 @@
 
 UpstreamConnection::UpstreamConnection(boost::asio::io_context& ioContext,
                                        UpstreamConnectionObserver& observer, TimerQueue& timers,
-                                       std::shared_ptr<std::size_t> connectionCount)
+                                       std::shared_ptr<std::size_t> connectionCount,
+                                       std::shared_ptr<MemoryBudget> memoryBudget)
     : TcpConnection(ioContext),
       observer_(observer),
       timers_(timers),
-      connectionCount_(std::move(connectionCount)) {
+      connectionCount_(std::move(connectionCount)),
+      memory_(std::move(memoryBudget)) {
     ++*connectionCount_;
 }
 
@@ -59,7 +61,9 @@
         text.append("\r\nContent-Length: ").append(std::to_string(request.body.size()));
     text.append("\r\n\r\n").append(request.body);
     bytesWrittenBefore_ = bytesWritten();
+    lastProgressAt_ = std::chrono::steady_clock::now();
     send(text);
+    chargeMemory();
 }
 
 void UpstreamConnection::expectResponse() {
@@ -84,6 +88,7 @@
     switch (progress) {
         case ParseProgress::incomplete:
             limitReceiveTime();
+            chargeMemory();
             break;
         case ParseProgress::interim:  // the next response has not begun, so it has no limit yet
             break;
@@ -103,6 +108,7 @@
     const std::size_t used = parser_->put(input().data(), ec);
     input().consume(used);
     if (hasContentLengthOver(*parser_, kMaxBodyBytes)) return ParseProgress::malformed;
+    if (hasTooManyFields(*parser_)) return ParseProgress::malformed;
     if (ec == http::error::need_more) return ParseProgress::incomplete;
     // A response without a length ends with the connection, so a truncated one can't be detected.
     if (ec || parser_->need_eof()) return ParseProgress::malformed;
@@ -117,6 +123,7 @@
 void UpstreamConnection::limitReceiveTime() {
     if (timeLimitedResponseNumber_ == responseNumber_) return;
     timeLimitedResponseNumber_ = responseNumber_;
+    lastProgressAt_ = std::chrono::steady_clock::now();
     timers_.schedule(kMaxResponseReceiveTime, [weak = weak_from_this(), number = responseNumber_] {
         const auto connection = std::static_pointer_cast<UpstreamConnection>(weak.lock());
         if (connection && connection->isOpen() && connection->responseNumber_ == number)
@@ -129,13 +136,23 @@
     ++responseNumber_;
     const bool isReusable = parser_->keep_alive() && input().size() == 0 && isFlushed();
     parser_.reset();
+    memory_.set(0);
     const AttemptId attempt = std::exchange(attempt_, AttemptId::none);
     observer_.onResponse(attempt, std::move(result), isReusable);
     if (!isReusable) close();
 }
 
+// Called last by the handlers, since it may close this connection.
+void UpstreamConnection::chargeMemory() {
+    const std::size_t before = memory_.bytes();
+    const std::size_t responseBytes = parser_ ? parsedMessageBytes(*parser_) : 0;
+    memory_.set(chargeableBytes(bufferCapacity() + responseBytes));
+    if (memory_.bytes() > before) observer_.onMemoryExceeded();
+}
+
 void UpstreamConnection::closeAsBroken() {
     close();
+    memory_.set(0);
     observer_.onBroken(self());
 }
 
--- a/src/net/upstream/upstream_connection.h
+++ b/src/net/upstream/upstream_connection.h
@@ -9,6 +9,8 @@
 #include <memory>
 #include <optional>
 
+#include "net/transport/clock.h"
+#include "net/transport/memory_budget.h"
 #include "net/transport/tcp_connection.h"
 #include "net/transport/timer_queue.h"
 #include "net/upstream/attempt.h"
@@ -38,6 +40,9 @@
 
     // Bytes were received while the connection was idle. It is still open.
     virtual void onUnexpectedInput(const std::shared_ptr<UpstreamConnection>& connection) = 0;
+
+    // The messages of all connections exceed the memory budget. May close this connection.
+    virtual void onMemoryExceeded() = 0;
 };
 
 class UpstreamConnection final : public TcpConnection {
@@ -45,7 +50,8 @@
     // `observer` and `timers` must outlive the connection while it is open. `connectionCount` counts the
     // objects of this class: the constructor increments it and the destructor decrements it.
     UpstreamConnection(boost::asio::io_context& ioContext, UpstreamConnectionObserver& observer,
-                       TimerQueue& timers, std::shared_ptr<std::size_t> connectionCount);
+                       TimerQueue& timers, std::shared_ptr<std::size_t> connectionCount,
+                       std::shared_ptr<MemoryBudget> memoryBudget);
     ~UpstreamConnection() override;
     UpstreamConnection(const UpstreamConnection&) = delete;
     UpstreamConnection& operator=(const UpstreamConnection&) = delete;
@@ -66,6 +72,15 @@
     // Returns whether the connection carried another attempt before the present one.
     bool isReused() const { return bytesWrittenBefore_ > 0; }
 
+    // Returns what the connection takes from the memory budget.
+    std::size_t chargedBytes() const { return memory_.bytes(); }
+
+    // Returns when the request was written or the current response began, whichever was later.
+    SteadyTimePoint lastProgressAt() const { return lastProgressAt_; }
+
+    // Closes the connection and reports it as broken.
+    void closeAsBroken();
+
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
     enum class ParseProgress { incomplete, interim, complete, malformed };
@@ -78,7 +93,7 @@
     ParseProgress parseInput();
     void limitReceiveTime();
     void finishResponse();
-    void closeAsBroken();
+    void chargeMemory();
     std::shared_ptr<UpstreamConnection> self() {
         return std::static_pointer_cast<UpstreamConnection>(shared_from_this());
     }
@@ -92,6 +107,8 @@
     std::uint64_t timeLimitedResponseNumber_ = 0;  // of the latest response with a time limit
     int interimResponses_ = 0;                     // before the current response
     std::optional<Parser> parser_;                 // empty while no attempt is assigned
+    SteadyTimePoint lastProgressAt_{};
+    MemoryCharge memory_;  // of the buffers and the incomplete response
 };
 
 }  // namespace gateway::net
--- /dev/null
+++ b/tests/integration/memory_limit_test.cpp
@@ -0,0 +1,107 @@
+// The memory of a gateway process under floods of each form of message, at the least memory and the most
+// descriptors that deployments have, with more clients than client connections.
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+
+#include <functional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "support/gateway_test.h"
+
+namespace gateway::net::test {
+namespace {
+
+constexpr int kMemoryMegabytes = 32;
+constexpr int kMaxSockets = 1024;
+constexpr int kFloodingClients = 700;
+constexpr int kRounds = 3;  // how often each client connects
+constexpr long kKilobytesPerMegabyte = 1024;
+constexpr std::size_t kHalfBodyBytes = 32UL * 1024;
+
+std::string postHead(const std::string& framing) {
+    return "POST /spend HTTP/1.1\r\nHost: h\r\n" + framing + "\r\n";
+}
+
+std::string repeated(const std::string& text, std::size_t bytes) {
+    std::string result;
+    while (result.size() + text.size() <= bytes) result += text;
+    return result;
+}
+
+// What one flooding client sends on each connection.
+struct Flood {
+    const char* name;
+    std::function<std::string()> bytes;
+};
+
+std::ostream& operator<<(std::ostream& out, const Flood& flood) {
+    return out << flood.name;
+}
+
+const std::vector<Flood>& floods() {
+    static const std::string kLength = "Content-Length: 65536\r\n";
+    static const std::string kChunked = "Transfer-Encoding: chunked\r\n";
+    static const std::vector<Flood> kFloods = {
+        {"ManyShortFields", [] { return postHead(kLength + repeated("a:b\r\n", 15'000)); }},
+        {"FieldsWithinLimit",
+         [] { return postHead(kLength + repeated("a:" + std::string(116, 'b') + "\r\n", 14'500)); }},
+        {"UnfinishedHead", [] { return "POST /spend HTTP/1.1\r\n" + repeated("abc: d\r\n", 16'000); }},
+        {"LongField", [] { return "POST /spend HTTP/1.1\r\nlong: " + std::string(16'000, 'x'); }},
+        {"HalfBody", [] { return postHead(kLength) + std::string(kHalfBodyBytes, 'x'); }},
+        {"AlmostWholeBody", [] { return postHead(kLength) + std::string(65'000, 'x'); }},
+        {"HalfChunk", [] { return postHead(kChunked) + "10000\r\n" + std::string(kHalfBodyBytes, 'x'); }},
+        {"TinyChunks", [] { return postHead(kChunked) + repeated("1\r\nx\r\n", 64'000); }},
+        {"LargeRequests",
+         [] {
+             static int count = 0;
+             std::string requests;
+             for (int i = 0; i < 2; ++i)
+                 requests += unsafeRequest("large" + std::to_string(count++))
+                                 .withoutQuota()
+                                 .withBody(std::string(60'000, 'x'))
+                                 .text();
+             return requests;
+         }},
+        {"UnreadResponses", [] { return repeated("GET /-/ready HTTP/1.1\r\n\r\n", 200'000); }},
+        {"InvalidRequests", [] { return repeated("GET /unknown HTTP/1.1\r\n\r\n", 200'000); }},
+    };
+    return kFloods;
+}
+
+// Writes as much as the kernel takes at once.
+void writeWithoutWaiting(const Socket& client, const std::string& bytes) {
+    const ssize_t written = ::send(client.fd(), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    static_cast<void>(written);  // the gateway may have closed the connection
+}
+
+class MemoryLimitTest : public testing::TestWithParam<Flood> {
+protected:
+    Server endpoint{kMaxSockets};  // accepts connections into its backlog and never answers
+    GatewayOptions options = optionsWithEndpoint(endpoint);
+};
+
+INSTANTIATE_TEST_SUITE_P(Forms, MemoryLimitTest, testing::ValuesIn(floods()),
+                         [](const auto& testCase) { return testCase.param.name; });
+
+// Guards against a process that passes its memory limit because of what many clients send.
+TEST_P(MemoryLimitTest, StaysBelowLimitAndServesUsualClients) {
+    options.memoryMegabytes = kMemoryMegabytes;
+    options.maxSockets = kMaxSockets;
+    const GatewayProcess gateway(options);
+    std::vector<Socket> clients(kFloodingClients);
+    for (int round = 0; round < kRounds; ++round) {
+        for (Socket& client : clients) {
+            client = gateway.connectClient();
+            writeWithoutWaiting(client, GetParam().bytes());
+        }
+        Socket usual = gateway.connectClient();
+        EXPECT_EQ(requestReadiness(usual), 200);
+        EXPECT_LT(gateway.residentKilobytes(), kMemoryMegabytes * kKilobytesPerMegabyte);
+    }
+    EXPECT_LT(gateway.peakResidentKilobytes(), kMemoryMegabytes * kKilobytesPerMegabyte);
+}
+
+}  // namespace
+}  // namespace gateway::net::test
--- a/tests/support/gateway_process.h
+++ b/tests/support/gateway_process.h
@@ -41,9 +41,11 @@
     void whileStopped(const std::function<void()>& act) const;
 
     long residentKilobytes() const;
+    long peakResidentKilobytes() const;
 
 private:
     void start();
+    long readStatus(const std::string& field) const;
     // Runs in the forked process. Writes the port to the pipe `portPipe`, serves until SIGTERM, and returns
     // the exit status.
     int serveAndReportPort(int portPipe) const;
