--- a/tests/decision/engine/request_lifecycle_test.cpp
+++ b/tests/decision/engine/request_lifecycle_test.cpp
@@ -67,6 +67,24 @@
     }
 }
 
+// Guards against a retry in the cell of a new process that took the name of the first attempt's endpoint.
+TEST_F(RequestLifecycleTest, RetriesKeyedRequestInCellThatFirstAttemptWasSentTo) {
+    constexpr std::uint64_t kTenants = 8;
+    const auto cellOf = [](const EndpointId& endpoint) { return (endpoint.value()[1] - '0') / 2; };
+    for (std::uint64_t tenant = 0; tenant < kTenants; ++tenant) {
+        start(keyedWithin(DeduplicationScope::cell, milliseconds(400)));
+        engine().request(1, tenant);
+        const SendAttempt first = engine().sends.back();
+        EndpointEntry replacement =
+            EngineFixture::entry(first.endpoint.value(), CellId{1 - cellOf(first.endpoint)});
+        replacement.startedAt = engine().now;
+        engine().handle(EndpointUpdate{UpdateKind::delta, {replacement}});
+        engine().endAttempt(first, 0, Outcome::reset, false);
+        if (engine().sends.size() == 1) continue;  // the request may also fail
+        EXPECT_EQ(cellOf(engine().sends.back().endpoint), cellOf(first.endpoint));
+    }
+}
+
 TEST_F(RequestLifecycleTest, FailsKeyedRequestAfterItsIdempotencyWindow) {
     start(keyedWithin(DeduplicationScope::cell, milliseconds(400)));
     engine().request();
--- a/tests/integration/client_limits_test.cpp
+++ b/tests/integration/client_limits_test.cpp
@@ -51,6 +51,23 @@
     EXPECT_EQ(bodyOf(client.receiveMessage()), "served");
 }
 
+// Guards against clients that are not served because others hold all connections with half a request.
+TEST_F(ClientLimitsTest, RejectsStalledRequestsForWaitingClient) {
+    constexpr int kMaxClients = 32;
+    options.maxSockets = 2 * kMaxClients;
+    options.timing.requestReadTimeout = std::chrono::hours(1);
+    const GatewayProcess gateway(options);
+    std::list<Socket> stalled;
+    for (int i = 0; i < kMaxClients; ++i) {
+        stalled.push_back(gateway.connectClient());
+        stalled.back().write("GET /load HTTP/1.1\r\nHost:");
+    }
+    Socket client = gateway.connectClient();
+    expectReady(client);
+    EXPECT_EQ(statusOf(stalled.front().receiveMessage()), 503);
+    EXPECT_TRUE(stalled.front().waitForClose());
+}
+
 TEST_F(ClientLimitsTest, AnswersIncompleteRequestWith408AndCloses) {
     options.timing.requestReadTimeout = std::chrono::milliseconds(100);
     const GatewayProcess gateway(options);
--- a/tests/integration/gateway_shutdown_test.cpp
+++ b/tests/integration/gateway_shutdown_test.cpp
@@ -98,6 +98,24 @@
     EXPECT_FALSE(endpoint.waitReadable(0));
 }
 
+// Guards against a request that is still in flight when SIGKILL comes.
+TEST_F(GatewayShutdownTest, RejectsRequestThatArrivesAfterItStoppedListening) {
+    GatewayOptions options = optionsWithEndpoint(endpoint, withLongDeadlines());
+    options.timing.listenGracePeriod = std::chrono::milliseconds(1);
+    options.timing.idleGracePeriod = std::chrono::hours(1);
+    startGateway(options);
+    Socket client = connectClient();
+    EXPECT_EQ(requestReadiness(client), 200);
+    gateway().terminate();
+    EXPECT_THROW(for (;;) connectClient(), std::runtime_error);  // until the gateway stops listening
+    pause(std::chrono::milliseconds(300));                       // more than new connections are given
+    client.write(unsafeRequest("late").withTimeout(kLongTimeout).text());
+    const std::string response = client.receiveMessage();
+    EXPECT_EQ(statusOf(response), 503);
+    EXPECT_TRUE(contains(response, "Connection: close"));
+    EXPECT_FALSE(endpoint.waitReadable(0));
+}
+
 // A reload during shutdown changes the addresses as usual, and requests in flight are still answered.
 TEST_F(GatewayShutdownTest, IgnoresInvalidReloadAndAppliesValidOneWhileDraining) {
     const Server newDiscovery;
--- a/tests/integration/memory_limit_test.cpp
+++ b/tests/integration/memory_limit_test.cpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <ostream>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "support/gateway_test.h"
@@ -103,5 +104,109 @@
     EXPECT_LT(gateway.peakResidentKilobytes(), kMemoryMegabytes * kKilobytesPerMegabyte);
 }
 
+class SingleClientMemoryTest : public GatewayTest {
+protected:
+    void startGatewayWithLeastMemory(GatewayOptions options) {
+        options.memoryMegabytes = kMemoryMegabytes;
+        options.maxSockets = kMaxSockets;
+        startGateway(std::move(options));
+    }
+    void expectMemoryBelowLimit() {
+        EXPECT_LT(gateway().peakResidentKilobytes(), kMemoryMegabytes * kKilobytesPerMegabyte);
+    }
+};
+
+// Guards against memory that grows without end while a client sends at full speed and never reads.
+TEST_F(SingleClientMemoryTest, StopsReadingClientThatNeverReads) {
+    startGatewayWithLeastMemory(optionsWithEndpoint(endpoint));
+    const Socket client = connectClient();
+    const std::string requests = repeated("GET /unknown HTTP/1.1\r\n\r\n", 1'000'000);
+    int handledWithoutProgress = 0;
+    std::size_t sent = 0;
+    constexpr std::size_t kMaxSent = 100'000'000;
+    while (handledWithoutProgress < 3 && sent < kMaxSent) {
+        const ssize_t size =
+            ::send(client.fd(), requests.data(), requests.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (size > 0) {
+            sent += static_cast<std::size_t>(size);
+            handledWithoutProgress = 0;
+        } else {
+            waitUntilHandled(gateway());
+            ++handledWithoutProgress;
+        }
+    }
+    expectMemoryBelowLimit();
+}
+
+// Guards against memory that grows with the number of tenant names.
+TEST_F(SingleClientMemoryTest, KeepsLimitedNumberOfTenants) {
+    constexpr int kTenants = 60'000;
+    constexpr int kTenantsAtOnce = 100;
+    startGatewayWithLeastMemory({});  // without an endpoint each request is rejected at once
+    Socket client = connectClient();
+    for (int i = 0; i < kTenants; i += kTenantsAtOnce) {
+        std::string requests;
+        for (int tenant = i; tenant < i + kTenantsAtOnce; ++tenant)
+            requests += keyedRequest("r" + std::to_string(tenant))
+                            .withTenant("00000000" + std::to_string(10'000'000 + tenant))
+                            .text();
+        client.write(requests);
+        for (int tenant = 0; tenant < kTenantsAtOnce; ++tenant)
+            EXPECT_EQ(statusOf(client.receiveMessage()), 429);
+    }
+    expectMemoryBelowLimit();
+}
+
+// What an endpoint sends in place of a complete response.
+struct EndpointFlood {
+    const char* name;
+    std::string bytes;
+};
+
+std::ostream& operator<<(std::ostream& out, const EndpointFlood& flood) {
+    return out << flood.name;
+}
+
+class EndpointMemoryTest : public SingleClientMemoryTest,
+                           public testing::WithParamInterface<EndpointFlood> {};
+
+const std::string kOkHead = "HTTP/1.1 200 OK\r\n";
+INSTANTIATE_TEST_SUITE_P(
+    Forms, EndpointMemoryTest,
+    testing::Values(EndpointFlood{"UnfinishedHead", kOkHead + repeated("a:b\r\n", 16'000)},
+                    EndpointFlood{"AlmostWholeBody",
+                                  kOkHead + "Content-Length: 65536\r\n\r\n" + std::string(65'000, 'x')},
+                    EndpointFlood{"HalfChunk", kOkHead + "Transfer-Encoding: chunked\r\n\r\n10000\r\n" +
+                                                   std::string(33'000, 'x')}),
+    [](const auto& testCase) { return testCase.param.name; });
+
+// Guards against a process that passes its memory limit because of what endpoints send.
+TEST_P(EndpointMemoryTest, StaysBelowLimitWhenResponsesStopBeforeTheirEnd) {
+    constexpr int kRequestsAtOnce = 400;
+    constexpr int kEndpoints = 64;  // under the same address; the limit of attempts grows with their number
+    Server busyEndpoint(kMaxSockets);
+    GatewayOptions options = optionsWithEndpoint(busyEndpoint, withLongDeadlines());
+    for (int i = 0; i < kEndpoints; ++i)
+        options.knownEndpoints.push_back(listedEndpoint("e" + std::to_string(i), busyEndpoint));
+    startGatewayWithLeastMemory(std::move(options));
+    std::vector<Socket> clients(kRequestsAtOnce);
+    std::vector<Socket> connections;
+    for (int i = 0; i < kRequestsAtOnce; ++i) {
+        Socket& client = clients[static_cast<std::size_t>(i)];
+        client = connectClient();
+        client.write(unsafeRequest("r" + std::to_string(i)).withoutQuota().withTimeout(kLongTimeout).text());
+        if (!waitForReadable({&client, &busyEndpoint}).empty() && !busyEndpoint.waitReadable(0)) break;
+        connections.push_back(acceptAttempt(busyEndpoint));
+    }
+    ASSERT_GE(connections.size(), 300U);
+    gateway().whileStopped([&] {
+        for (const Socket& connection : connections) writeWithoutWaiting(connection, GetParam().bytes);
+    });
+    waitUntilHandled(gateway());
+    for (std::size_t i = 0; i < connections.size(); ++i)
+        EXPECT_EQ(statusOf(clients[i].receiveMessage()), 502);
+    expectMemoryBelowLimit();
+}
+
 }  // namespace
 }  // namespace gateway::net::test
--- a/tests/support/gateway_process.cpp
+++ b/tests/support/gateway_process.cpp
@@ -81,10 +81,7 @@
 }
 
 GatewayProcess::~GatewayProcess() {
-    if (pid_ > 0) {
-        ::kill(pid_, SIGKILL);
-        ::waitpid(pid_, nullptr, 0);
-    }
+    kill();
     std::remove(configFile_.c_str());
 }
 
@@ -111,6 +108,19 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : kSignalOffset + WTERMSIG(status);
 }
 
+std::optional<int> GatewayProcess::exitStatus() {
+    siginfo_t info{};
+    if (::waitid(P_PID, static_cast<id_t>(pid_), &info, WEXITED | WNOHANG | WNOWAIT) != 0 || info.si_pid == 0)
+        return std::nullopt;
+    return waitForExit();
+}
+
+void GatewayProcess::kill() {
+    if (pid_ <= 0) return;
+    ::kill(pid_, SIGKILL);
+    ::waitpid(std::exchange(pid_, -1), nullptr, 0);
+}
+
 void GatewayProcess::whileStopped(const std::function<void()>& act) const {
     ::kill(pid_, SIGSTOP);
     int status = 0;
--- a/tests/support/gateway_process.h
+++ b/tests/support/gateway_process.h
@@ -4,6 +4,7 @@
 #include <sys/types.h>
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "support/gateway_options.h"
@@ -36,6 +37,13 @@
     // it.
     int waitForExit();
 
+    // Returns the exit status as waitForExit() does if the process has exited. May be called again only if it
+    // has not.
+    std::optional<int> exitStatus();
+    // Sends SIGKILL. Has no effect if the process has exited.
+    void kill();
+    unsigned short port() const { return port_; }
+
     // Stops the process while `act` runs. When it continues it finds all input that `act` caused at once, in
     // the order of arrival.
     void whileStopped(const std::function<void()>& act) const;
