--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -67,8 +67,13 @@
         resumeReading();
         return;
     }
+    isReadScheduled_ = true;
     timers_.schedule(Duration::zero(), [weak = weak_from_this()] {
-        if (const auto session = weak.lock()) static_cast<ClientSession&>(*session).readNext();
+        const auto connection = weak.lock();
+        if (!connection) return;
+        auto& session = static_cast<ClientSession&>(*connection);
+        session.isReadScheduled_ = false;
+        session.readNext();
     });
 }
 
@@ -173,8 +178,10 @@
 void ClientSession::readNext() {
     if (!isOpen() || isLingering_ || isWaitingToRead()) return;
     observer_.onActive(*this);
-    resumeReading();
-    if (input().size() == 0) return;
+    if (input().size() == 0) {
+        resumeReading();
+        return;
+    }
     switch (reader_.read(input(), clock_.now())) {
         case ClientRequestReader::Progress::incomplete:
             handleIncompleteRequest();
@@ -192,10 +199,12 @@
             break;
         }
     }
+    if (input().size() < kMaxPipelinedBytes) resumeReading();
     chargeMemory();
 }
 
 void ClientSession::handleIncompleteRequest() {
+    resumeReading();
     if (hasSentContinue_ || !reader_.expectsContinue()) return;
     hasSentContinue_ = true;
     send("HTTP/1.1 100 Continue\r\n\r\n");
--- a/src/net/client/client_session.h
+++ b/src/net/client/client_session.h
@@ -111,7 +111,7 @@
     void scheduleReadNext();
     void limitPipelinedInput();
     void awaitDisconnect();
-    bool isWaitingToRead() const { return isBusy_ || !isFlushed(); }
+    bool isWaitingToRead() const { return isBusy_ || isReadScheduled_ || !isFlushed(); }
     void chargeMemory();
     void handleIncompleteRequest();
     void serve(HttpRequest&& message);
@@ -139,6 +139,7 @@
     std::uint64_t responses_ = 0;
     TimerQueue::Token lingerTimer_ = 0;
     bool isAwaitingDisconnect_ = false;
+    bool isReadScheduled_ = false;  // of the next request, whose first bytes were received
     bool hasEnded_ = false;
     bool isBusy_ = false;       // a request is in flight
     bool isLingering_ = false;  // the last response was sent, and the client should close the connection
--- a/tests/support/failing_system_calls.cpp
+++ b/tests/support/failing_system_calls.cpp
@@ -35,6 +35,7 @@
 }  // namespace
 
 // These functions take the place of those of the C library in the test program.
+// NOLINTBEGIN(readability-inconsistent-declaration-parameter-name): the library's names are reserved.
 extern "C" {
 
 int socket(int domain, int type, int protocol) noexcept {
@@ -57,6 +58,7 @@
     return fails(gateway::net::test::SystemCall::listen) ? -1 : real(descriptor, backlog);
 }
 }
+// NOLINTEND(readability-inconsistent-declaration-parameter-name)
 
 namespace gateway::net::test {
 
