Log the start, the shutdown and a reload

One line each is written when the gateway listens, when a signal starts the shutdown, when that is complete, after a reload, and once when a start is repeated. Checked on the output of GatewayShutdownTest, ReloadTest and StartFailureTest.

--- a/src/net/server/service.cpp
+++ b/src/net/server/service.cpp
@@ -34,7 +34,12 @@
 private:
     void awaitTermination() {
         terminationSignals_.async_wait([this](const boost::system::error_code& ec, int) {
-            if (!ec) server_.shutDown([this] { ioContext_.stop(); });
+            if (ec) return;
+            log(LogLevel::info, "shutdown", "started by a signal; waiting for the clients' requests");
+            server_.shutDown([this] {
+                log(LogLevel::info, "shutdown", "complete");
+                ioContext_.stop();
+            });
         });
     }
 
@@ -50,6 +55,7 @@
         try {
             server_.tryToFreeDescriptor();
             server_.reload(loadConfig(ConfigLoad::reload));
+            log(LogLevel::info, "SIGHUP", "configuration reloaded");
         } catch (const std::exception& e) {
             log(LogLevel::error, "SIGHUP",
                 std::string("configuration not reloaded, continuing with the previous one: ") + e.what());
@@ -106,18 +112,22 @@
     std::signal(SIGPIPE, SIG_IGN);  // writes to a closed connection return an error instead
     std::signal(SIGHUP, SIG_IGN);   // until the handler is installed; the configuration was just read
     const auto retryUntil = std::chrono::steady_clock::now() + kMaxStartTime;
+    bool hasLogged = false;
     for (;;) {
         try {
             boost::asio::io_context ioContext(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
             GatewayServer server(ioContext, config);
             const SignalHandler signals(ioContext, server);
             server.start();
+            log(LogLevel::info, "start", "listening");
             onListening(server.address());
             runLoop(ioContext);
             blockSignals();
             return;
         } catch (const boost::system::system_error& e) {
             if (!isTemporary(e.code()) || std::chrono::steady_clock::now() >= retryUntil) throw;
+            if (!hasLogged) log(LogLevel::warning, "start", std::string("failed, trying again: ") + e.what());
+            hasLogged = true;
             std::this_thread::sleep_for(kStartRetryInterval);
         }
     }
--- a/src/net/transport/log.cpp
+++ b/src/net/transport/log.cpp
@@ -4,9 +4,24 @@
 
 namespace gateway::net {
 
+namespace {
+
+std::string_view nameOf(LogLevel level) {
+    switch (level) {
+        case LogLevel::info:
+            return "info";
+        case LogLevel::warning:
+            return "warning";
+        case LogLevel::error:
+            return "error";
+    }
+    return "unknown";
+}
+
+}  // namespace
+
 void log(LogLevel level, std::string_view component, std::string_view message) {
-    const std::string_view levelName = level == LogLevel::error ? "error" : "warning";
-    std::cerr << "gateway: " << levelName << ": " << component << ": " << message << '\n';
+    std::cerr << "gateway: " << nameOf(level) << ": " << component << ": " << message << '\n';
 }
 
 }  // namespace gateway::net
--- a/src/net/transport/log.h
+++ b/src/net/transport/log.h
@@ -5,7 +5,7 @@
 
 namespace gateway::net {
 
-enum class LogLevel { warning, error };
+enum class LogLevel { info, warning, error };
 
 // Writes "gateway: LEVEL: COMPONENT: MESSAGE". Precondition: `component` and `message` contain no line break.
 void log(LogLevel level, std::string_view component, std::string_view message);
