Review: a late second copy of an answer is served to another request

Cause: a connection is reused 10 ms after an answer, and a copy that crosses the next request is taken for its answer.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p ../build/review-2
-for source in [6-9]/judge.cpp; do
+for source in [6-9]/judge.cpp 10/judge.cpp; do
     g++ -std=c++20 -O1 -Wall -Wextra -o "../build/review-2/judge-${source%%/*}" "$source"
 done
