Log why responses of endpoints could not be used, and tell an orderly end from a reset

Change: one line a second and reason counts attempts whose request was written and whose response could not be used. For it TcpConnection reports the end of the stream apart from a failure. The kernel reports a reset once: if a write or a peek received the report, the next read returns 0 as at an orderly end, so such a connection is remembered as failed.

--- a/src/net/transport/tcp_connection.cpp
+++ b/src/net/transport/tcp_connection.cpp
@@ -122,6 +122,9 @@
     error_code ec;
     const std::size_t size = socket_.read_some(buffer, ec);
     if (wouldBlock(ec)) return {};
+    // The kernel reports a failure once. If a write or a peek received the report, this read sees the end of
+    // the stream instead.
+    if (ec == boost::asio::error::eof && !hasFailed_) onEndOfStream();
     if (ec || discarding_) return ec;
     input_.commit(size);
     hasDrainedKernel_ = size < kReadBytes;
@@ -155,6 +158,7 @@
         size = socket_.receive(boost::asio::buffer(&firstByte, 1), tcp::socket::message_peek, ec);
     } while (ec == boost::asio::error::interrupted);
     if (wouldBlock(ec)) return PeekResult::nothing;
+    if (ec && ec != boost::asio::error::eof) hasFailed_ = true;
     return !ec && size > 0 ? PeekResult::bytes : PeekResult::end;
 }
 
@@ -188,7 +192,10 @@
     }
     // A failed connection is not written to any more. The pending read reports the failure after it has
     // delivered the bytes that the peer sent before.
-    if (ec && !wouldBlock(ec)) return;
+    if (ec && !wouldBlock(ec)) {
+        hasFailed_ = true;
+        return;
+    }
     awaitWritable();
 }
 
--- a/src/net/transport/tcp_connection.h
+++ b/src/net/transport/tcp_connection.h
@@ -29,8 +29,8 @@
 //
 // Must be owned by a shared_ptr, because pending operations hold a copy of it. A timer that can outlive the
 // connection must hold a weak_ptr. The private virtual functions notify the derived class of events and are
-// called from the event loop only. If onConnected(), onReceived() or onOutputWritten() throws an exception,
-// the connection is closed and onClosed() is called; other connections are not affected.
+// called from the event loop only. If one of them other than onClosed() throws an exception, the connection
+// is closed and onClosed() is called; other connections are not affected.
 class TcpConnection : public std::enable_shared_from_this<TcpConnection> {
 public:
     virtual ~TcpConnection() = default;
@@ -131,6 +131,9 @@
     virtual void onConnected() {}
     virtual void onReceived() = 0;     // input() has grown
     virtual void onOutputWritten() {}  // the kernel has accepted all output, after it had refused a part
+    // The peer has closed its sending direction, and all bytes that it sent were received. Not called if the
+    // connection failed, for example by a reset. onClosed() follows unless this function calls close().
+    virtual void onEndOfStream() {}
     virtual void onClosed() = 0;  // the peer closed the connection, or connecting or the connection failed
 
     PeekResult peek();
@@ -157,6 +160,7 @@
     bool awaitingWritable_ = false;  // a wait until the socket is writable is pending
     bool isReadingPaused_ = false;
     bool hasDrainedKernel_ = true;
+    bool hasFailed_ = false;  // a system call reported that the connection has failed
     bool discarding_ = false;
     TimerQueue* timers_ = nullptr;  // of connect()
     TimerQueue::Token connectTimer_ = 0;
--- a/src/net/upstream/attempt_runner.cpp
+++ b/src/net/upstream/attempt_runner.cpp
@@ -15,6 +15,7 @@
       idleConnections_(idleConnections),
       limits_(limits),
       hooks_(std::move(hooks)),
+      responseFaultLog_(timers),
       memoryBudget_(std::make_shared<MemoryBudget>(limits.messageBytes)) {}
 
 // ---- Starting and sending -------------------------------------------------------------------------
@@ -112,6 +113,7 @@
     if (id == AttemptId::none) {
         onUnexpectedInput(connection);
     } else if (connection->isRequestWritten()) {
+        responseFaultLog_.record(connection->responseFault());
         finish(id, Outcome::reset);  // the endpoint may have run the request
     } else {
         // Neither the loss of a connection that had been idle nor a failure to open a socket in this process
@@ -134,7 +136,7 @@
             if (!oldest || connection->lastProgressAt() < oldest->lastProgressAt()) oldest = connection;
         }
         if (!oldest) return;
-        oldest->closeAsBroken();
+        oldest->closeAsBroken(ResponseFault::memoryLimit);
     }
 }
 
--- a/src/net/upstream/attempt_runner.h
+++ b/src/net/upstream/attempt_runner.h
@@ -12,6 +12,7 @@
 #include "net/transport/timer_queue.h"
 #include "net/upstream/attempt.h"
 #include "net/upstream/idle_connection_pool.h"
+#include "net/upstream/response_fault_log.h"
 #include "net/upstream/upstream_connection.h"
 #include "net/upstream/upstream_endpoint.h"
 
@@ -96,6 +97,7 @@
     IdleConnectionPool& idleConnections_;
     Limits limits_;
     Hooks hooks_;
+    ResponseFaultLog responseFaultLog_;
     std::unordered_map<AttemptId, Attempt> attempts_;  // in flight
     std::shared_ptr<std::size_t> connectionCount_ = std::make_shared<std::size_t>(0);
     std::shared_ptr<MemoryBudget> memoryBudget_;
--- a/src/net/upstream/upstream_connection.cpp
+++ b/src/net/upstream/upstream_connection.cpp
@@ -80,7 +80,7 @@
         return;
     }
     if (bytesWritten() == bytesWrittenBefore_) {  // no byte of the request was written yet
-        closeAsBroken();
+        closeAsBroken(ResponseFault::malformed);
         return;
     }
     ParseProgress progress = ParseProgress::interim;
@@ -96,7 +96,7 @@
             finishResponse();
             break;
         case ParseProgress::malformed:
-            closeAsBroken();
+            closeAsBroken(ResponseFault::malformed);
             break;
     }
 }
@@ -127,7 +127,7 @@
     timers_.schedule(kMaxResponseReceiveTime, [weak = weak_from_this(), number = responseNumber_] {
         const auto connection = std::static_pointer_cast<UpstreamConnection>(weak.lock());
         if (connection && connection->isOpen() && connection->responseNumber_ == number)
-            connection->closeAsBroken();
+            connection->closeAsBroken(ResponseFault::tooSlow);
     });
 }
 
@@ -150,7 +150,8 @@
     if (memory_.bytes() > before) observer_.onMemoryExceeded();
 }
 
-void UpstreamConnection::closeAsBroken() {
+void UpstreamConnection::closeAsBroken(ResponseFault fault) {
+    responseFault_ = fault;
     close();
     memory_.set(0);
     observer_.onBroken(self());
--- a/src/net/upstream/upstream_connection.h
+++ b/src/net/upstream/upstream_connection.h
@@ -14,6 +14,7 @@
 #include "net/transport/tcp_connection.h"
 #include "net/transport/timer_queue.h"
 #include "net/upstream/attempt.h"
+#include "net/upstream/response_fault_log.h"
 
 namespace gateway::net {
 
@@ -35,7 +36,8 @@
     virtual void onResponse(AttemptId attempt, AttemptResult&& result, bool isReusable) = 0;
 
     // The connection failed, was closed by the endpoint or received a malformed response. It has already been
-    // closed. connection->attempt() returns the attempt that it carried, or AttemptId::none if it was idle.
+    // closed. connection->attempt() returns the attempt that it carried, or AttemptId::none if it was idle;
+    // connection->responseFault() returns what was wrong.
     virtual void onBroken(const std::shared_ptr<UpstreamConnection>& connection) = 0;
 
     // Bytes were received while the connection was idle. It is still open.
@@ -78,8 +80,11 @@
     // Returns when the request was written or the current response began, whichever was later.
     SteadyTimePoint lastProgressAt() const { return lastProgressAt_; }
 
+    // Returns why there is no complete response. Precondition: the connection was reported as broken.
+    ResponseFault responseFault() const { return responseFault_; }
+
     // Closes the connection and reports it as broken.
-    void closeAsBroken();
+    void closeAsBroken(ResponseFault fault);
 
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
@@ -87,6 +92,7 @@
 
     void onConnected() override { observer_.onConnected(attempt_); }
     void onReceived() override;
+    void onEndOfStream() override { responseFault_ = ResponseFault::closedEarly; }
     void onClosed() override { observer_.onBroken(self()); }
 
     void expectResponse();
@@ -107,6 +113,7 @@
     std::uint64_t timeLimitedResponseNumber_ = 0;  // of the latest response with a time limit
     int interimResponses_ = 0;                     // before the current response
     std::optional<Parser> parser_;                 // empty while no attempt is assigned
+    ResponseFault responseFault_ = ResponseFault::reset;
     SteadyTimePoint lastProgressAt_{};
     MemoryCharge memory_;  // of the buffers and the incomplete response
 };
--- a/tests/net/transport/tcp_connection_test.cpp
+++ b/tests/net/transport/tcp_connection_test.cpp
@@ -38,6 +38,7 @@
 
     std::vector<std::string> calls;
     bool throwsOnReceived = false;
+    bool hasEndOfStream = false;
 
 private:
     void onConnected() override { calls.emplace_back("connected"); }
@@ -46,6 +47,7 @@
         if (throwsOnReceived) throw std::runtime_error("expected by the test");
     }
     void onOutputWritten() override { calls.emplace_back("output written"); }
+    void onEndOfStream() override { hasEndOfStream = true; }
     void onClosed() override { calls.emplace_back("closed"); }
 };
 
@@ -64,6 +66,12 @@
         connection->calls.clear();
     }
 
+    // Ends the connection with a TCP reset.
+    void resetPeer() {
+        peer.set_option(boost::asio::socket_base::linger(true, 0));
+        peer.close();
+    }
+
     bool isClosed() const { return !connection->calls.empty() && connection->calls.back() == "closed"; }
 
     std::shared_ptr<RecordingConnection> connection = std::make_shared<RecordingConnection>(ioContext);
@@ -157,6 +165,43 @@
     EXPECT_EQ(connection->calls, (Calls{"received", "closed"}));
 }
 
+TEST_F(TcpConnectionTest, ReportsEndOfStreamOfClosedConnection) {
+    connectAndAccept();
+    write(peer, "x");
+    peer.close();
+    runUntil([&] { return isClosed(); });
+    EXPECT_TRUE(connection->hasEndOfStream);
+}
+
+TEST_F(TcpConnectionTest, DoesNotReportResetAsEndOfStream) {
+    connectAndAccept();
+    write(peer, "x");
+    resetPeer();
+    runUntil([&] { return isClosed(); });
+    EXPECT_EQ(connection->received(), "x");
+    EXPECT_FALSE(connection->hasEndOfStream);
+}
+
+// The kernel reports a reset once. If a write gets the report, the next read finds the end of the stream.
+TEST_F(TcpConnectionTest, DoesNotReportResetThatWriteMetAsEndOfStream) {
+    connectAndAccept();
+    write(peer, "x");
+    resetPeer();
+    while (connection->isFlushed()) connection->send("y");
+    runUntil([&] { return isClosed(); });
+    EXPECT_EQ(connection->received(), "x");
+    EXPECT_FALSE(connection->hasEndOfStream);
+}
+
+TEST_F(TcpConnectionTest, DoesNotReportResetThatPeekMetAsEndOfStream) {
+    connectAndAccept();
+    resetPeer();
+    while (!connection->hasPeerClosed()) {
+    }
+    runUntil([&] { return isClosed(); });
+    EXPECT_FALSE(connection->hasEndOfStream);
+}
+
 TEST_F(TcpConnectionTest, DiscardsInputButReportsClose) {
     connectAndAccept();
     connection->discardInput();
--- a/tests/net/upstream/attempt_runner_test.cpp
+++ b/tests/net/upstream/attempt_runner_test.cpp
@@ -113,6 +113,35 @@
     EXPECT_EQ(waitForOutcome(), Outcome::timedOut);
 }
 
+TEST_F(AttemptRunnerTest, LogsWhyResponsesCouldNotBeUsed) {
+    testing::internal::CaptureStderr();
+    tcp::socket malformed = startAndReceive();
+    respond(malformed, "no HTTP\r\n\r\n");
+    tcp::socket closed = startAndReceive();
+    write(closed, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh");
+    closed.close();
+    runUntil([&] { return ended.size() == 2U; });
+    tcp::socket reset = startAndReceive();
+    reset.set_option(boost::asio::socket_base::linger(true, 0));
+    reset.close();
+    runUntil([&] { return ended.size() == 3U; });
+    tcp::socket slow = startAndReceive();
+    respond(slow, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh");
+    bool isLogged = false;
+    timers.schedule(milliseconds(1001), [&] { isLogged = true; });
+    runUntil([&] { return isLogged; });
+    const std::string prefix = "gateway: warning: upstream: attempts failed ";
+    EXPECT_EQ(testing::internal::GetCapturedStderr(),
+              prefix + "on a response that is malformed or too large: 1 in the last second\n" +  //
+                  prefix +
+                  "as the endpoint closed the connection before its response was complete: 1 in the last "
+                  "second\n" +
+                  prefix +
+                  "as the connection was reset before the response was complete: 1 in the last second\n" +
+                  prefix +
+                  "on a response that was not complete in time after its first byte: 1 in the last second\n");
+}
+
 // ---- Between connecting and sending ---------------------------------------------------------------
 
 TEST_F(AttemptRunnerTest, DoesNotSendAttemptThatHookRefuses) {
