Forward a response without a length once its connection is closed in order

What callers saw: a request whose endpoint sent a response with neither Content-Length nor chunks and then closed the connection was answered 502 although it had run; with Not-Started it was answered 502 instead of being retried. Cause: UpstreamConnection::parseInput called a response malformed as soon as its header showed that it ends with its connection. Change: such a response is complete when the peer closes in order (RFC 9112, 6.3, item 8). After a reset or another failure, also one that a write met, within its header, over 64 KiB, in an unknown transfer coding or still open after 0.2 s it is not. What a malformed response of that form costs more: its attempt ends after 0.2 s, not at once, if the endpoint keeps the connection open.

--- a/src/net/upstream/upstream_connection.cpp
+++ b/src/net/upstream/upstream_connection.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "net/transport/http_limits.h"
+#include "net/transport/response_framing.h"
 #include "net/upstream/upstream_response.h"
 
 namespace gateway::net {
@@ -110,8 +111,7 @@
     if (hasContentLengthOver(*parser_, kMaxBodyBytes)) return ParseProgress::malformed;
     if (hasTooManyFields(*parser_)) return ParseProgress::malformed;
     if (ec == http::error::need_more) return ParseProgress::incomplete;
-    // A response without a length ends with the connection, so a truncated one can't be detected.
-    if (ec || parser_->need_eof()) return ParseProgress::malformed;
+    if (ec || hasUnknownTransferCoding(*parser_)) return ParseProgress::malformed;
     if (!parser_->is_done()) return ParseProgress::incomplete;
     if (!isInterim(parser_->get())) return ParseProgress::complete;
     ++interimResponses_;
@@ -120,6 +120,11 @@
     return ParseProgress::interim;
 }
 
+void UpstreamConnection::onEndOfStream() {
+    responseFault_ = ResponseFault::closedEarly;
+    if (parser_ && completeAtEndOfStream(*parser_)) finishResponse();
+}
+
 void UpstreamConnection::limitReceiveTime() {
     if (timeLimitedResponseNumber_ == responseNumber_) return;
     timeLimitedResponseNumber_ = responseNumber_;
--- a/src/net/upstream/upstream_connection.h
+++ b/src/net/upstream/upstream_connection.h
@@ -92,7 +92,7 @@
 
     void onConnected() override { observer_.onConnected(attempt_); }
     void onReceived() override;
-    void onEndOfStream() override { responseFault_ = ResponseFault::closedEarly; }
+    void onEndOfStream() override;
     void onClosed() override { observer_.onBroken(self()); }
 
     void expectResponse();
