Use a reply of the counter without a length once its connection is closed in order

What callers would see: a counter that answers without a length counts as failing, so quotas are estimated and not counted. Cause: CounterResponseParser::read called such a reply malformed at its header, which ended the connection and every call on it. Change: the total counts when the counter closes in order; after a reset digits may be missing and the call ends as reset. A reply that ends with its connection makes the channel move to a new one, whose calls wait until those on the old one have ended, as after a change of address, for replies for one name must keep their order. The end of a connection and a change of address share CounterClient::retireCurrent.

--- a/src/net/counter/counter_client.cpp
+++ b/src/net/counter/counter_client.cpp
@@ -107,24 +107,33 @@
 
 void CounterClient::changeChannelAddress(std::size_t index) {
     Channel& channel = channels_[index];
+    retireCurrent(channel);
+    if (channel.previous) channel.previous->writeHeldCalls();
+    channel.backoff = {};
+    channel.connectNotBefore = {};
+    if (!channel.current) connect(index);  // a new call during closeAndEndCalls() has connected already
+}
+
+// Makes the channel's current connection the previous one, or closes it if all its calls were reported.
+void CounterClient::retireCurrent(Channel& channel) {
     // A channel keeps at most one previous connection. Calls on an older one end as timed out if they were
     // written, and as connectFailed otherwise.
     const ConnectionPtr oldest = std::exchange(channel.previous, nullptr);
     if (oldest) oldest->closeAndEndCalls();
     const ConnectionPtr old = std::exchange(channel.current, nullptr);
-    if (old && old->isOpen() && !old->hasReportedAllCalls()) {
+    if (old && old->isOpen() && !old->hasReportedAllCalls())
         channel.previous = old;  // its calls end at their timeouts at the latest
-        old->writeHeldCalls();
-    } else if (old) {
+    else if (old)
         old->closeAndEndCalls();
-    }
-    channel.backoff = {};
-    channel.connectNotBefore = {};
-    if (!channel.current) connect(index);  // a new call during closeAndEndCalls() has connected already
 }
 
-// The engine expects the replies for a name in the order of the calls, so a channel writes nothing to the new
-// address while a call to the old one is in flight.
+void CounterClient::onEnding(const CounterConnection& connection) {
+    Channel& channel = channels_[connection.channelIndex()];
+    if (channel.current.get() == &connection) retireCurrent(channel);
+}
+
+// The engine expects the replies for a name in the order of the calls, so a channel writes nothing to its new
+// connection while a call on the previous one is in flight.
 bool CounterClient::canWrite(const CounterConnection& connection) const {
     const Channel& channel = channels_[connection.channelIndex()];
     return channel.previous == nullptr || channel.previous.get() == &connection;
--- a/src/net/counter/counter_client.h
+++ b/src/net/counter/counter_client.h
@@ -51,7 +51,7 @@
 
     struct Channel {
         ConnectionPtr current;
-        ConnectionPtr previous;  // the connection to the old address, until its calls have ended
+        ConnectionPtr previous;  // a connection that gets no further calls, until its calls have ended
         std::chrono::steady_clock::time_point connectNotBefore{};
         Duration backoff{};
         bool needsFlush = false;
@@ -60,12 +60,14 @@
     bool canWrite(const CounterConnection& connection) const override;
     void onConnected(const CounterConnection& connection) override;
     void onReply(const CounterConnection& connection, CounterReplied&& reply) override;
+    void onEnding(const CounterConnection& connection) override;
     void onBroken(const CounterConnection& connection, bool wasConnected) override;
 
     // Returns the channel's connection, which may still be connecting; null during the channel's backoff.
     const ConnectionPtr& ensureConnection(std::size_t index);
     void connect(std::size_t index);
     void changeChannelAddress(std::size_t index);
+    static void retireCurrent(Channel& channel);
     void closePrevious(std::size_t index, const ConnectionPtr& previous);
 
     boost::asio::io_context& ioContext_;
--- a/src/net/counter/counter_connection.cpp
+++ b/src/net/counter/counter_connection.cpp
@@ -118,17 +118,26 @@
     lastReceivedAt_ = steady_clock::now();
     while (input().size() > 0) {
         const Progress progress = parser_.read(input());
-        if (progress == Progress::incomplete) return;
+        const bool isEnding = progress == Progress::incomplete && parser_.endsWithConnection();
+        if (progress == Progress::incomplete && !isEnding) return;
         // Responses can't be matched with calls after a malformed response or a response without a call.
         if (progress == Progress::malformed || calls_.empty()) {
             onClosed();
             return;
         }
+        if (isEnding) {
+            observer_.onEnding(*this);
+            return;
+        }
         if (progress == Progress::interim) continue;
         if (!finishOldestCall(parser_.takeResponse())) return;
     }
 }
 
+void CounterConnection::onEndOfStream() {
+    if (!calls_.empty() && parser_.completeAtEndOfStream()) finishOldestCall(parser_.takeResponse());
+}
+
 // Reports the oldest call as ended with this response. Returns false if the connection is then closed.
 bool CounterConnection::finishOldestCall(const CounterResponse& response) {
     if (response.isOk && !response.total) {  // it is unknown whether the amount was added
--- a/src/net/counter/counter_connection.h
+++ b/src/net/counter/counter_connection.h
@@ -29,6 +29,9 @@
     virtual void onConnected(const CounterConnection& connection) = 0;
     // Called once for each call, when the call has ended.
     virtual void onReply(const CounterConnection& connection, CounterReplied&& reply) = 0;
+    // Called when the response that is being received ends with the connection: calls that are written later
+    // would not be answered. May close the connection.
+    virtual void onEnding(const CounterConnection& connection) = 0;
     // Called when the connection broke or could not be established, before onReply() is called for its calls.
     // `wasConnected`: the connection is still open, or bytes were written on it.
     virtual void onBroken(const CounterConnection& connection, bool wasConnected) = 0;
@@ -79,6 +82,7 @@
 
     void onConnected() override;
     void onReceived() override;
+    void onEndOfStream() override;
     void onClosed() override;
 
     void queueCall(Call& call, const std::string& text);
--- a/src/net/counter/counter_protocol.cpp
+++ b/src/net/counter/counter_protocol.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 
 #include "net/transport/http_limits.h"
+#include "net/transport/response_framing.h"
 
 namespace gateway::net {
 
@@ -53,13 +54,21 @@
     input.consume(used);
     if (ec == http::error::need_more) return Progress::incomplete;
     if (hasContentLengthOver(*parser_, kMaxResponseBytes)) return Progress::malformed;
-    if (ec || parser_->need_eof()) return Progress::malformed;
+    if (ec || hasUnknownTransferCoding(*parser_)) return Progress::malformed;
     if (!parser_->is_done()) return Progress::incomplete;
     if (parser_->get().result_int() >= kFirstFinalStatus) return Progress::complete;
     reset();
     return Progress::interim;
 }
 
+bool CounterResponseParser::endsWithConnection() const {
+    return net::endsWithConnection(*parser_);
+}
+
+bool CounterResponseParser::completeAtEndOfStream() {
+    return net::completeAtEndOfStream(*parser_);
+}
+
 CounterResponse CounterResponseParser::takeResponse() {
     const auto& message = parser_->get();
     const CounterResponse response{message.result() == http::status::ok, parseCounterTotal(message.body()),
--- a/src/net/counter/counter_protocol.h
+++ b/src/net/counter/counter_protocol.h
@@ -43,8 +43,15 @@
     // `input` is not empty.
     Progress read(boost::beast::flat_buffer& input);
 
-    // Returns the response that was read. Precondition: read() has returned `complete`, and takeResponse()
-    // has not been called since.
+    // Returns whether the response that is being read ends with the connection, so that no other follows it.
+    bool endsWithConnection() const;
+
+    // Completes a response that ends with the connection. Call it when the counter has closed the connection
+    // in order. Returns whether the response is complete now.
+    bool completeAtEndOfStream();
+
+    // Returns the response that was read. Precondition: read() has returned `complete` or
+    // completeAtEndOfStream() true, and takeResponse() has not been called since.
     CounterResponse takeResponse();
 
 private:
--- a/tests/net/counter/counter_client_test.cpp
+++ b/tests/net/counter/counter_client_test.cpp
@@ -25,6 +25,16 @@
                 [this](CounterReplied&& reply) { replies.push_back(std::move(reply)); }};
     }
 
+    // Starts a call, and returns the connection on which it was received.
+    Socket startAndReceive(CounterClient& client) {
+        startCall(client);
+        runUntilReadable(counter);
+        Socket connection = counter.accept();
+        runUntilReadable(connection);
+        connection.receiveMessage();
+        return connection;
+    }
+
     static void startCall(CounterClient& client) {
         client.add({"q1.1", 1, seconds(5)});
         client.flush();
@@ -92,11 +102,44 @@
 
 TEST_F(CounterClientTest, ReportsResetForWrittenCallOfBrokenConnection) {
     CounterClient client = makeClient(seconds(20));
+    Socket connection = startAndReceive(client);
+    connection.reset();
+    runUntilReplies(1);
+    EXPECT_EQ(replies[0].outcome, Outcome::reset);
+}
+
+// ---- Responses without a length -------------------------------------------------------------------------
+
+// Guards against a total that is lost, and against the next call on a connection that ends with the response.
+TEST_F(CounterClientTest, ReportsTotalWithoutLengthBeforeItMakesNextCallOnNewConnection) {
+    CounterClient client = makeClient(seconds(20));
+    Socket first = startAndReceive(client);
+    startCall(client);
+    runUntilReadable(first);
+    first.receiveMessage();
+    first.write(okResponse("11") + "HTTP/1.1 200 OK\r\n\r\n1");
+    runUntilReplies(1);
     startCall(client);
     runUntilReadable(counter);
-    Socket connection = counter.accept();
-    runUntilReadable(connection);
-    connection.receiveMessage();
+    Socket second = counter.accept();
+    EXPECT_EQ(replies.size(), 1U);
+    first.write("2");
+    first.close();
+    runUntilReadable(second);
+    ASSERT_EQ(replies.size(), 2U);
+    EXPECT_EQ(replies[1].outcome, Outcome::ok);
+    EXPECT_EQ(replies[1].total, 12);
+    second.receiveMessage();
+    second.write(okResponse("13"));
+    runUntilReplies(3);
+    EXPECT_EQ(replies[2].total, 13);
+}
+
+// Guards against a total of which a reset has cut off the last digits.
+TEST_F(CounterClientTest, ReportsResetForTruncatedTotalWithoutLength) {
+    CounterClient client = makeClient(seconds(20));
+    Socket connection = startAndReceive(client);
+    connection.write("HTTP/1.1 200 OK\r\n\r\n1");
     connection.reset();
     runUntilReplies(1);
     EXPECT_EQ(replies[0].outcome, Outcome::reset);
