Apply a complete endpoint list without a length once its connection is closed in order

What callers would see: after SIGHUP with a discovery that answers the request for the complete list without a length, no list is ever applied: new endpoints get no requests, and draining ones are used past their grace period. Cause: WatchStream applied a list when its parser was done, which such a response is not before the end of its connection, and dropped it there. Change: at an orderly end the response is completed and the list applied; the next call asks for the changes since. After a reset it is dropped as before, and asked for again.

--- a/src/net/discovery/watch_stream.cpp
+++ b/src/net/discovery/watch_stream.cpp
@@ -3,6 +3,7 @@
 #include <sstream>
 
 #include "net/discovery/discovery_schedule.h"
+#include "net/transport/response_framing.h"
 
 namespace gateway::net {
 
@@ -58,6 +59,11 @@
     }
 }
 
+// Documents of a watch were passed to the observer as they were complete.
+void WatchStream::onEndOfStream() {
+    if (needsSnapshot_ && parser_ && completeAtEndOfStream(*parser_)) finishSnapshot();
+}
+
 // Continues to read the response, and passes the documents of a watch to the observer. Returns false if the
 // stream has ended. Otherwise sets `ec` to the parser's result.
 bool WatchStream::readResponse(error_code& ec) {
--- a/src/net/discovery/watch_stream.h
+++ b/src/net/discovery/watch_stream.h
@@ -59,6 +59,7 @@
 
     void onConnected() override;
     void onReceived() override;
+    void onEndOfStream() override;
     void onClosed() override { observer_.onEnded(*this); }
 
     void sendRequest();
--- a/tests/net/discovery/watch_stream_test.cpp
+++ b/tests/net/discovery/watch_stream_test.cpp
@@ -52,6 +52,31 @@
     EXPECT_FALSE(endpoint.waitReadable(0));
 }
 
+// Guards against a complete list that is dropped, and with it the drain of an endpoint that it leaves out. A
+// reset may have cut off the end of a list.
+TEST_F(WatchStreamTest, AppliesSnapshotWithoutLengthOnceItsConnectionIsClosed) {
+    const std::string withoutLength = "HTTP/1.1 200 OK\r\n\r\n";
+    const Server newEndpoint, newDiscovery;
+    startGateway(withLongDrainGracePeriod());
+    gateway().reload(newDiscovery);
+    const auto sendSnapshot = [&](int index, const Server& listed) {
+        Socket call = newDiscovery.accept();
+        EXPECT_TRUE(contains(call.receiveMessage(), "GET /api/targets HTTP/1.1\r\n"));
+        call.write(withoutLength + snapshotDocument(index, {listedEndpoint("b", listed)}));
+        return call;
+    };
+    sendSnapshot(60, endpoint).reset();
+    sendSnapshot(61, newEndpoint).close();
+    {
+        Socket watch = newDiscovery.accept();
+        EXPECT_TRUE(contains(watch.receiveMessage(), "since=61 "));
+        watch.write(withoutLength + deltaDocument(62, {}));
+    }
+    EXPECT_TRUE(contains(newDiscovery.accept().receiveMessage(), "since=62 "));
+    expectServedBy(gateway(), newEndpoint, 3);
+    EXPECT_FALSE(endpoint.waitReadable(0));
+}
+
 // Neither a line break nor a bracket within a string ends a document.
 TEST_F(WatchStreamTest, ParsesIndentedSplitAndConcatenatedDocuments) {
     const Server newEndpoint;
