Answer every request behind one that is rejected as too late after SIGTERM

Cause: ClientSession::serve rejected a late request with answerAndClose(), which discards what the session has read and what is left in the kernel. Change: it is answered 503 like any request during a shutdown; the connection stays open while more has arrived. So that a client that sends without end can't delay the exit without end, every connection ends with its next response once the last request that was served must be answered: twice the longest deadline after the last moment for requests. Evidence: GatewayShutdownTest.AnswersEveryRequestSentAtOnceAfterItStoppedListening fails without the change at the second 503 (the connection ends), and ...EndsConnectionOfClientThatSendsWithoutEnd doesn't end in 30 s without it.

--- a/src/net/client/client_request.cpp
+++ b/src/net/client/client_request.cpp
@@ -23,6 +23,10 @@
 // in use.
 constexpr int kMaxTimeoutDeadlineMultiple = 2;
 
+Duration maxTimeout(const RequestClass& requestClass) {
+    return kMaxTimeoutDeadlineMultiple * requestClass.deadline;
+}
+
 // ---- Values ---------------------------------------------------------------------------------------
 
 // Parses text that is one number and nothing else. Returns nothing for any other text. `format` is passed to
@@ -144,8 +148,8 @@
                  RequestArrived& arrival) {
     const auto timeoutMs = parseNumber<std::uint32_t>(text);
     if (!timeoutMs || *timeoutMs == 0) return false;
-    const Duration maxTimeout = kMaxTimeoutDeadlineMultiple * requestClass.deadline;
-    arrival.deadline = receivedAt + std::min<Duration>(std::chrono::milliseconds(*timeoutMs), maxTimeout);
+    const Duration timeout = std::chrono::milliseconds(*timeoutMs);
+    arrival.deadline = receivedAt + std::min(timeout, maxTimeout(requestClass));
     return true;
 }
 
@@ -205,6 +209,13 @@
     return request;
 }
 
+Duration maxRequestTime(const RequestRules& rules) {
+    Duration longest{};
+    for (const RequestClass& requestClass : rules.classes)
+        longest = std::max(longest, maxTimeout(requestClass));
+    return longest;
+}
+
 bool hasAmbiguousLength(const HttpRequest& message) {
     const auto codings = message.count(http::field::transfer_encoding);
     const auto lengths = message.count(http::field::content_length);
--- a/src/net/client/client_request.h
+++ b/src/net/client/client_request.h
@@ -58,6 +58,9 @@
 std::variant<ClientRequest, RequestError> parseClientRequest(HttpRequest message, const RequestRules& rules,
                                                              TimePoint receivedAt);
 
+// Returns the longest time that a valid request of any class is given, from when its first byte was received.
+Duration maxRequestTime(const RequestRules& rules);
+
 // Returns whether two parsers of the header could disagree on where the body ends, so that the body could
 // hide another request (request smuggling).
 bool hasAmbiguousLength(const HttpRequest& message);
--- a/src/net/client/client_server.cpp
+++ b/src/net/client/client_server.cpp
@@ -204,6 +204,7 @@
     if (isDraining_) return;
     isDraining_ = true;
     lastRequestAt_ = clock_.now() + limits_.listenGracePeriod + kFirstRequestGrace;
+    drainDeadline_ = lastRequestAt_ + maxRequestTime(rules_);
     onDrained_ = std::move(done);
     timers_.schedule(limits_.idleGracePeriod, [this] { endIdleSessionsWhileDraining(); });
     timers_.schedule(limits_.listenGracePeriod, [this] { stopListening(); });
--- a/src/net/client/client_server.h
+++ b/src/net/client/client_server.h
@@ -73,6 +73,7 @@
     bool isReady() const override { return hooks_.isReady(); }
     bool isDraining() const override { return isDraining_; }
     TimePoint lastRequestAt() const override { return lastRequestAt_; }
+    bool isDrainOverdue() const override { return clock_.now() > drainDeadline_; }
     bool isMemoryExhausted() override;
     bool startRequest(ClientRequest&& request, const SessionPtr& session) override;
     void onDisconnect(const RequestId& request) override { hooks_.onDisconnect(request); }
@@ -105,9 +106,10 @@
     ShedLog shedLog_;
     std::list<SessionPtr> sessions_;  // the one that was accepted or read input last at the back
     TimePoint lastRequestAt_ = TimePoint::max();
-    bool isAwaitingClient_ = false;  // a wait for a client in the backlog is pending
-    bool isRetryScheduled_ = false;  // of an accept
-    Duration acceptPause_{};         // after the next failed accept; 0: none
+    TimePoint drainDeadline_ = TimePoint::max();  // when every request that is served should be answered
+    bool isAwaitingClient_ = false;               // a wait for a client in the backlog is pending
+    bool isRetryScheduled_ = false;               // of an accept
+    Duration acceptPause_{};                      // after the next failed accept; 0: none
     bool isDraining_ = false;
     bool isListening_ = false;
     std::function<void()> onDrained_;
--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -97,7 +97,7 @@
 // The connection stays open while it has unread requests, even if the gateway is draining, because closing it
 // would lose them.
 bool ClientSession::shouldStayOpen() {
-    if (!keepAlive_) return false;
+    if (!keepAlive_ || observer_.isDrainOverdue()) return false;
     if (input().size() > 0) return true;
     if (isClosing_) return false;
     return !observer_.isDraining() || hasInput();
@@ -241,7 +241,7 @@
         return;
     }
     if (lastReceivedAt_ > observer_.lastRequestAt()) {
-        answerAndClose(http::status::service_unavailable);
+        answer(plainResponse(http::status::service_unavailable));
         return;
     }
     auto parsed = parseClientRequest(std::move(message), observer_.rules(), reader_.receivedAt());
--- a/src/net/client/client_session.h
+++ b/src/net/client/client_session.h
@@ -32,6 +32,9 @@
     // Returns when the gateway stopped, or will stop, to serve further requests because it is shutting down.
     // A request that arrives later might still be in flight when the process is killed.
     virtual TimePoint lastRequestAt() const = 0;
+    // Returns whether the shutdown has lasted so long that a session ends after its next response, even if
+    // its client has sent more requests. Else a client that sends without end would delay it without end.
+    virtual bool isDrainOverdue() const = 0;
 
     // Called after the session's messages have grown. Ends other sessions, or this one, if the budget is
     // exceeded. Returns whether it is still exceeded.
--- a/tests/integration/gateway_shutdown_test.cpp
+++ b/tests/integration/gateway_shutdown_test.cpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <thread>
 
 #include "support/gateway_test.h"
 
@@ -20,6 +21,21 @@
         startGateway(options);
     }
 
+    // Starts a gateway that after SIGTERM stops listening at once, and closes no idle connections.
+    void startGatewayThatStopsListening(const SettingsSpec& settings = withLongDeadlines()) {
+        GatewayOptions options = optionsWithEndpoint(endpoint, settings);
+        options.timing.listenGracePeriod = std::chrono::milliseconds(1);
+        options.timing.idleGracePeriod = std::chrono::hours(1);
+        startGateway(options);
+    }
+
+    // Sends SIGTERM, and returns when it is too late for further requests.
+    void terminateAndPassLastRequest() {
+        gateway().terminate();
+        EXPECT_THROW(for (;;) connectClient(), std::runtime_error);  // until the gateway stops listening
+        pause(std::chrono::milliseconds(300));                       // more than new connections are given
+    }
+
     static void expectFinalResponse(Socket& client) {
         const std::string response = client.receiveMessage();
         EXPECT_EQ(statusOf(response), 200);
@@ -100,15 +116,10 @@
 
 // Guards against a request that is still in flight when SIGKILL comes.
 TEST_F(GatewayShutdownTest, RejectsRequestThatArrivesAfterItStoppedListening) {
-    GatewayOptions options = optionsWithEndpoint(endpoint, withLongDeadlines());
-    options.timing.listenGracePeriod = std::chrono::milliseconds(1);
-    options.timing.idleGracePeriod = std::chrono::hours(1);
-    startGateway(options);
+    startGatewayThatStopsListening();
     Socket client = connectClient();
     EXPECT_EQ(requestReadiness(client), 200);
-    gateway().terminate();
-    EXPECT_THROW(for (;;) connectClient(), std::runtime_error);  // until the gateway stops listening
-    pause(std::chrono::milliseconds(300));                       // more than new connections are given
+    terminateAndPassLastRequest();
     client.write(unsafeRequest("late").withTimeout(kLongTimeout).text());
     const std::string response = client.receiveMessage();
     EXPECT_EQ(statusOf(response), 503);
@@ -116,6 +127,49 @@
     EXPECT_FALSE(endpoint.waitReadable(0));
 }
 
+// Guards against requests that are read and dropped: those behind a request that is rejected as too late.
+TEST_F(GatewayShutdownTest, AnswersEveryRequestSentAtOnceAfterItStoppedListening) {
+    startGatewayThatStopsListening();
+    Socket client = connectClient();
+    const auto late = [](const std::string& id) { return unsafeRequest(id).withTimeout(kLongTimeout); };
+    Socket connection = sendToEndpoint(client, late("in flight"));
+    terminateAndPassLastRequest();
+    // The third one is left in the kernel while the first one is in flight.
+    client.write(late("2").text() + late("3").withBody(std::string(30'000, 'x')).text() + late("4").text());
+    connection.write(okResponse("served"));
+    EXPECT_EQ(statusOf(client.receiveMessage()), 200);
+    for (const bool isLast : {false, false, true}) {
+        const std::string response = client.receiveMessage();
+        EXPECT_EQ(statusOf(response), 503);
+        EXPECT_EQ(contains(response, "Connection: close"), isLast);
+    }
+    EXPECT_TRUE(client.waitForClose());
+    EXPECT_FALSE(endpoint.waitReadable(0));
+}
+
+// Guards against a client that sends without end, so that the process never exits.
+TEST_F(GatewayShutdownTest, EndsConnectionOfClientThatSendsWithoutEnd) {
+    SettingsSpec settings;
+    settings.deadline = Seconds(0.1);
+    startGatewayThatStopsListening(settings);
+    Socket client = connectClient();
+    const std::string request = "GET /-/ready HTTP/1.1\r\n\r\n";
+    std::string requests;
+    for (int i = 0; i < 1000; ++i) requests += request;
+    client.write(request);
+    client.receiveMessage();
+    gateway().terminate();
+    const std::jthread sender([&] {
+        try {
+            for (;;) client.write(requests);
+        } catch (const std::runtime_error&) {  // the gateway has closed the connection
+        }
+    });
+    std::string response;
+    while (!contains(response, "Connection: close")) response = client.receiveMessage();
+    EXPECT_EQ(gateway().waitForExit(), 0);
+}
+
 // A reload during shutdown changes the addresses as usual, and requests in flight are still answered.
 TEST_F(GatewayShutdownTest, IgnoresInvalidReloadAndAppliesValidOneWhileDraining) {
     const Server newDiscovery;
