Do not end sessions with valid requests for other clients at the connection limit

Cause: ClientServer::shedSlowRequests also ended sessions with requests unread for 500 ms; ClientSession::isOverloadedFor did not distinguish invalid requests, answered at once, from valid ones that wait for endpoints. Such a session discards the request that it has read in part, and those left in the kernel. Change: a session counts as overloaded by unread requests only if its latest request was invalid or a readiness check. Room is made when an incomplete request is silent for 250 ms or 500 ms old, as before. Evidence: ClientServerTest.AnswersEveryRequestSentAtOnceWhileIncompleteRequestsFillTheLimit fails without the change: the later requests are never started. Floods of invalid requests are shed as before (MemoryLimitTest).

--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -44,7 +44,8 @@
     if (isClosing_ || isLingering_) return false;
     const bool hasUnreadRequests =
         isReadingPaused() && clock_.now() - unreadSince_.value_or(clock_.now()) > time;
-    return hasUnreadRequests || (!isFlushed() && stalledFor(clock_.now()) > time);
+    const bool sendsInvalidRequests = hasUnreadRequests && !isLatestRequestValid_;
+    return sendsInvalidRequests || (!isFlushed() && stalledFor(clock_.now()) > time);
 }
 
 void ClientSession::closeAfterReadRequests() {
@@ -235,6 +236,7 @@
 }
 
 void ClientSession::serve(HttpRequest&& message) {
+    isLatestRequestValid_ = false;
     const auto target = message.target();
     if (std::string_view(target.data(), target.size()) == kReadinessTarget) {
         answerReadiness(message);
@@ -254,6 +256,7 @@
 // Rejects a request that takes memory from the budget if the budget is exceeded although other sessions were
 // ended.
 void ClientSession::startRequest(ClientRequest&& request) {
+    isLatestRequestValid_ = true;
     request.forwarded->memory = MemoryCharge(memoryBudget_);
     request.forwarded->memory.set(chargeableBytes(request.forwarded->sizeInMemory()));
     memory_.set(chargeableBytes(bufferCapacity()));
--- a/src/net/client/client_session.h
+++ b/src/net/client/client_session.h
@@ -83,8 +83,9 @@
     // incomplete for longer than `maxTime`.
     bool isSendingSlowly(Duration maxSilence, Duration maxTime) const;
 
-    // Returns whether the client has sent further requests, for longer than `time`, faster than they were
-    // answered, or has not received a response for longer than that.
+    // Returns whether the client has sent invalid requests or readiness checks, for longer than `time`,
+    // faster than they were answered, or has not received a response for longer than that. A client that
+    // sends valid requests at once is not overloaded, because each of them must be answered.
     bool isOverloadedFor(Duration time) const;
 
     // Answers the requests that were read, and then closes the connection.
@@ -159,7 +160,8 @@
     bool isLingering_ = false;  // the last response was sent, and the client should close the connection
     bool isClosing_ = false;    // nothing further is read; see closeAfterReadRequests()
     bool hasSentContinue_ = false;
-    bool keepAlive_ = true;  // the client wants to send more requests
+    bool isLatestRequestValid_ = false;  // the latest request was one that can be forwarded
+    bool keepAlive_ = true;              // the client wants to send more requests
 };
 
 }  // namespace gateway::net
--- a/tests/integration/memory_limit_test.cpp
+++ b/tests/integration/memory_limit_test.cpp
@@ -169,6 +169,7 @@
     testing::Values(EndpointFlood{"UnfinishedHead", kOkHead + repeated("a:b\r\n", 16'000)},
                     EndpointFlood{"AlmostWholeBody",
                                   kOkHead + "Content-Length: 65536\r\n\r\n" + std::string(65'000, 'x')},
+                    EndpointFlood{"NoLength", kOkHead + "\r\n" + std::string(65'000, 'x')},
                     EndpointFlood{"HalfChunk", kOkHead + "Transfer-Encoding: chunked\r\n\r\n10000\r\n" +
                                                    std::string(33'000, 'x')}),
     [](const auto& testCase) { return testCase.param.name; });
--- a/tests/net/client/client_server_test.cpp
+++ b/tests/net/client/client_server_test.cpp
@@ -135,6 +135,31 @@
     EXPECT_TRUE(isClosedWithoutBytes(silent));
 }
 
+// Guards against a connection with valid requests that is ended because others hold connections with
+// incomplete ones: what it has sent is read, or left in the kernel, and never answered.
+TEST_F(ClientServerTest, AnswersEveryRequestSentAtOnceWhileIncompleteRequestsFillTheLimit) {
+    constexpr std::size_t kRequests = 60;  // more bytes than are read while a request is in flight
+    limits.connections = 2;
+    startServer();
+    tcp::socket usual = connectClient();
+    for (std::size_t i = 0; i < kRequests; ++i) write(usual, requestText("r" + std::to_string(i)));
+    runUntil([&] { return started.size() == 1; });
+    ioContext.run_for(
+        std::chrono::milliseconds(600));  // longer than an overloaded client may wait at the limit
+    tcp::socket incomplete = connectClient();
+    write(incomplete, "GET /load HTTP/1.1\r\n");
+    tcp::socket next = connectClient();
+    write(next, kReadinessRequest);
+    EXPECT_EQ(statusOf(receive(next)), 200);
+    EXPECT_EQ(statusOf(receive(incomplete)), 503);
+    for (std::size_t i = 0; i < kRequests; ++i) {
+        runUntil([&] { return started.size() > i; });
+        ASSERT_GT(started.size(), i);
+        server->answer(*started[i].session, plainResponse(boost::beast::http::status::ok));
+        ASSERT_EQ(statusOf(receive(usual)), 200);
+    }
+}
+
 // Guards against a client that stays in the backlog although a session has become idle: the kernel accepted
 // the rest of its response only after the client had read a part of it.
 TEST_F(ClientServerTest, AcceptsClientOnceSlowReaderHasReceivedItsResponse) {
