Let the endpoints of the soak send responses without a length, whole and cut by a reset

The soak checks that each body served is the one made for the request; its endpoints always sent a length, so nothing there could tell a truncated response from a whole one. Now 10 in 100 responses have no length and end with their connection, and 1 in 100 is half of such a response with a reset behind it.

--- a/tests/soak/soak_endpoint.cpp
+++ b/tests/soak/soak_endpoint.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint64_t kPercent = 100;
 constexpr std::uint64_t kIgnoredPercent = 1;
 constexpr std::uint64_t kResetPercent = 1;
+constexpr std::uint64_t kTruncatedPercent = 1;
+constexpr std::uint64_t kWithoutLengthPercent = 10;
 constexpr std::size_t kReadBytes = 65536;
 
 std::size_t contentLength(const std::string& head) {
@@ -86,26 +88,48 @@
     if (connection.input.size() < messageSize) return;
     connection.input.erase(0, messageSize);
     connection.requestId = requestId(head);
-    const std::uint64_t draw = random_() % kPercent;
-    if (draw < kIgnoredPercent)
-        connection.reaction = Reaction::ignore;
-    else
-        connection.reaction = draw < kIgnoredPercent + kResetPercent ? Reaction::reset : Reaction::answer;
+    connection.reaction = drawReaction();
     connection.due = Clock::now() + std::chrono::milliseconds(random_() % kMaxWorkMs);
     const std::scoped_lock lock(mutex_);
     ++executions_[connection.requestId];
 }
 
+SoakEndpoint::Reaction SoakEndpoint::drawReaction() {
+    std::uint64_t draw = random_() % kPercent;
+    for (const auto& [reaction, percent] :
+         {std::pair(Reaction::ignore, kIgnoredPercent), std::pair(Reaction::reset, kResetPercent),
+          std::pair(Reaction::truncate, kTruncatedPercent),
+          std::pair(Reaction::answerWithoutLength, kWithoutLengthPercent)}) {
+        if (draw < percent) return reaction;
+        draw -= percent;
+    }
+    return Reaction::answer;
+}
+
 void SoakEndpoint::finishRequest(Connection& connection) {
     const std::string id = std::exchange(connection.requestId, {});
-    if (connection.reaction == Reaction::ignore) return;
-    if (connection.reaction == Reaction::reset) {
-        connection.socket.reset();
-        connection.isClosed = true;
-        return;
+    const std::string withoutLength = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+    const auto send = [&](const std::string& text) {
+        ::send(connection.socket.fd(), text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    };
+    switch (connection.reaction) {
+        case Reaction::answer:
+            send(okResponse(id));
+            return;
+        case Reaction::ignore:
+            return;
+        case Reaction::answerWithoutLength:
+            send(withoutLength + id);
+            break;
+        case Reaction::truncate:
+            send(withoutLength + id.substr(0, id.size() / 2));
+            connection.socket.reset();
+            break;
+        case Reaction::reset:
+            connection.socket.reset();
+            break;
     }
-    const std::string response = okResponse(id);
-    ::send(connection.socket.fd(), response.data(), response.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    connection.isClosed = true;
 }
 
 }  // namespace gateway::net::test
--- a/tests/soak/soak_endpoint.h
+++ b/tests/soak/soak_endpoint.h
@@ -16,7 +16,8 @@
 namespace gateway::net::test {
 
 // Counts how often each request was received, and answers most of them after a random time with their id as
-// the body. Some are never answered, and some connections are reset instead.
+// the body. Some responses have no length and end with their connection, or are truncated by a reset. Some
+// requests are never answered, and some connections are reset instead.
 class SoakEndpoint {
 public:
     explicit SoakEndpoint(std::uint64_t seed) : random_(seed) {}
@@ -34,7 +35,7 @@
 
 private:
     using Clock = std::chrono::steady_clock;
-    enum class Reaction { answer, ignore, reset };
+    enum class Reaction { answer, answerWithoutLength, truncate, ignore, reset };
     struct Connection {
         Socket socket;
         std::string input;
@@ -47,6 +48,7 @@
     void run();
     void receive(Connection& connection);
     void beginRequest(Connection& connection);
+    Reaction drawReaction();
     void finishRequest(Connection& connection);
 
     Server server_{1024};
