--- a/src/net/client/client_session.cpp
+++ b/src/net/client/client_session.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-constexpr std::size_t kMaxPipelinedBytes = 4UL * 1024;  // that are received while a request is in flight
-constexpr Duration kDisconnectPollInterval =
-    std::chrono::milliseconds(50);                         // while input is left in the kernel
 constexpr Duration kLingerTime = std::chrono::seconds(1);  // for the client to receive the last response
 constexpr std::string_view kReadinessTarget = "/-/ready";
 
@@ -27,41 +24,6 @@
       memory_(memoryBudget),
       acceptedAt_(clock.now()) {}
 
-Duration ClientSession::stalledFor(TimePoint now) const {
-    if (isBusy_ || isLingering_) return {};
-    if (!isFlushed()) return now - blockedAt_;
-    if (!reader_.isPartial()) return {};
-    return now - (isBeforeFirstResponse() ? acceptedAt_ : reader_.readingStartedAt());
-}
-
-bool ClientSession::isSendingSlowly(Duration maxSilence, Duration maxTime) const {
-    const Duration time = stalledFor(clock_.now());
-    if (!reader_.isPartial() || !isFlushed()) return false;
-    return time > maxTime || (time > maxSilence && clock_.now() - lastReceivedAt_ > maxSilence);
-}
-
-bool ClientSession::isOverloadedFor(Duration time) const {
-    if (isClosing_ || isLingering_) return false;
-    const bool hasUnreadRequests =
-        isReadingPaused() && clock_.now() - unreadSince_.value_or(clock_.now()) > time;
-    const bool sendsInvalidRequests = hasUnreadRequests && !isLatestRequestValid_;
-    return sendsInvalidRequests || (!isFlushed() && stalledFor(clock_.now()) > time);
-}
-
-void ClientSession::closeAfterReadRequests() {
-    if (!isFlushed()) {
-        end();
-        return;
-    }
-    isClosing_ = true;
-    pauseReading();
-    awaitDisconnect();
-}
-
-bool ClientSession::hasLingeredFor(Duration time) const {
-    return isLingering_ && isFlushed() && steady_clock::now() - lastActiveAt_ >= time;
-}
-
 // ---- Responses ------------------------------------------------------------------------------------
 
 void ClientSession::answer(const ClientResponse& response) {
@@ -163,39 +125,6 @@
     chargeMemory();
 }
 
-// Leaves further bytes in the kernel, so that the client can't fill this process's memory.
-void ClientSession::limitPipelinedInput() {
-    if (input().size() < kMaxPipelinedBytes) return;
-    pauseReading();
-    if (!unreadSince_) unreadSince_ = lastReceivedAt_;
-    awaitDisconnect();
-}
-
-// While reading is paused, the event loop does not report that the client has closed the connection.
-void ClientSession::awaitDisconnect() {
-    if (isAwaitingDisconnect_) return;
-    isAwaitingDisconnect_ = true;
-    timers_.schedule(kDisconnectPollInterval, [weak = weak_from_this()] {
-        const auto connection = weak.lock();
-        if (!connection || !connection->isOpen()) return;
-        auto& session = static_cast<ClientSession&>(*connection);
-        session.isAwaitingDisconnect_ = false;
-        if (!session.isReadingPaused()) return;
-        if (session.hasPeerClosed())
-            session.end();
-        else
-            session.awaitDisconnect();
-    });
-}
-
-// Charges what the session holds, and lets the observer shed load if that is too much.
-void ClientSession::chargeMemory() {
-    if (hasEnded_) return;
-    const std::size_t before = memory_.bytes();
-    memory_.set(chargeableBytes(bufferCapacity() + reader_.heldBytes()));
-    if (memory_.bytes() > before) observer_.isMemoryExhausted();
-}
-
 void ClientSession::readNext() {
     if (!isOpen() || isLingering_ || isWaitingToRead()) return;
     observer_.onActive(*this);
--- a/src/net/client/client_session.h
+++ b/src/net/client/client_session.h
@@ -3,6 +3,7 @@
 
 #include <boost/beast/http/status.hpp>
 #include <chrono>
+#include <cstddef>
 #include <list>
 #include <memory>
 #include <optional>
@@ -136,6 +137,9 @@
         return std::static_pointer_cast<ClientSession>(shared_from_this());
     }
 
+    // Received while a request is in flight.
+    static constexpr std::size_t kMaxPipelinedBytes = 4UL * 1024;
+
     ClientSessionObserver& observer_;
     TimerQueue& timers_;
     const Clock& clock_;
